--- /dev/null
+++ b/internal/connection/linker/call.go
@@ -0,0 +1,193 @@
+package linker
+
+import (
+	"context"
+	"io"
+	"net/http"
+	"time"
+
+	"github.com/gullvale/gullvale/internal/connection/framer"
+	"github.com/gullvale/gullvale/internal/connection/pooler"
+	"github.com/gullvale/gullvale/internal/request/exchanger"
+	"github.com/gullvale/gullvale/pkg/timekeeper"
+)
+
+// grace is how much longer than the deadline an entry waits for the owner,
+// which keeps the deadline itself and alone knows whether the request ran.
+const grace = 250 * timekeeper.Millis(1)
+
+// outCall is one request handed over a link.
+type outCall struct {
+	call    *exchanger.Call
+	stream  io.ReadWriteCloser
+	writer  *framer.Writer
+	reader  *framer.Reader
+	started bool
+}
+
+// Run hands a call to the peer. With relay the peer may choose the owner.
+func (p *Peer) Run(ctx context.Context, c *exchanger.Call, relay bool) exchanger.Result {
+	s := p.session.Load()
+	if s == nil {
+		return exchanger.Refused(exchanger.ReasonLinkDial, 0)
+	}
+	stream, err := s.mux.OpenStream()
+	if err != nil {
+		return exchanger.Refused(exchanger.ReasonLinkDial, 0)
+	}
+	defer stream.Close()
+	p.take(pooler.Key{Site: c.Site, Service: c.Service})
+	p.manager.counters.Handed.Add(1)
+	now := p.manager.Clock.Now()
+	if c.Deadline > 0 {
+		stream.SetReadDeadline(time.Now().Add((c.Deadline - now + grace).Duration()))
+	}
+	stop := context.AfterFunc(ctx, func() { stream.SetDeadline(time.Now()) })
+	defer stop()
+	o := &outCall{call: c, stream: stream, writer: framer.NewWriter(stream), reader: framer.NewReader(stream)}
+	if err := o.writer.Message(framer.KindRequest, requestMessage(c, relay, now)); err != nil {
+		return o.lost(ctx, p)
+	}
+	return o.run(ctx, p)
+}
+
+func (o *outCall) run(ctx context.Context, p *Peer) exchanger.Result {
+	for {
+		f, err := o.reader.Read()
+		if err != nil {
+			return o.lost(ctx, p)
+		}
+		r, done := o.frame(f)
+		if done {
+			return r
+		}
+	}
+}
+
+func (o *outCall) frame(f framer.Frame) (exchanger.Result, bool) {
+	switch f.Kind {
+	case framer.KindAdmitted:
+		if o.call.Admitted != nil {
+			o.call.Admitted()
+		}
+		go o.runBody()
+	case framer.KindResponse:
+		return o.start(f)
+	case framer.KindChunk:
+		if o.call.Write(f.Body) != nil {
+			return exchanger.Result{Outcome: exchanger.Answered, Reason: exchanger.ReasonCancelled}, true
+		}
+	case framer.KindEnd:
+		return o.end(f), true
+	}
+	return exchanger.Result{}, false
+}
+
+func (o *outCall) start(f framer.Frame) (exchanger.Result, bool) {
+	var m framer.Response
+	if f.Decode(&m) != nil {
+		return exchanger.Lost(exchanger.ReasonLinkLost, ""), true
+	}
+	o.started = true
+	a := exchanger.Answer{
+		Status:   int(m.Status),
+		Header:   fromHeaders(m.Headers),
+		Length:   m.Length,
+		Upstream: m.Upstream,
+	}
+	if o.call.Start(a) != nil {
+		return exchanger.Result{Outcome: exchanger.Answered, Reason: exchanger.ReasonCancelled}, true
+	}
+	return exchanger.Result{}, false
+}
+
+func (o *outCall) end(f framer.Frame) exchanger.Result {
+	var m framer.End
+	if f.Decode(&m) != nil {
+		return exchanger.Lost(exchanger.ReasonLinkLost, "")
+	}
+	if len(m.Trailers) > 0 && o.call.Trailer != nil {
+		o.call.Trailer(fromHeaders(m.Trailers))
+	}
+	return exchanger.Result{
+		Outcome:    exchanger.Outcome(m.Outcome),
+		Whole:      m.Whole,
+		Reason:     exchanger.Reason(m.Reason),
+		RetryAfter: timekeeper.Millis(m.RetryAfterMillis),
+		Upstream:   m.Upstream,
+	}
+}
+
+// runBody sends the body of the request in pieces.
+func (o *outCall) runBody() {
+	if o.call.Body == nil {
+		return
+	}
+	b := make([]byte, framer.ChunkBytes)
+	for {
+		n, err := o.call.Body.Read(b)
+		if n > 0 && o.writer.Bytes(framer.KindChunk, b[:n]) != nil {
+			return
+		}
+		if err != nil {
+			end := &framer.End{Whole: err == io.EOF}
+			_ = o.writer.Message(framer.KindEnd, end)
+			return
+		}
+	}
+}
+
+// lost is the result when the stream ended before the owner said how the call
+// ended. The owner may have sent the request on.
+func (o *outCall) lost(ctx context.Context, p *Peer) exchanger.Result {
+	reason := exchanger.ReasonLinkLost
+	switch {
+	case ctx.Err() != nil:
+		reason = exchanger.ReasonCancelled
+	case o.call.Deadline > 0 && p.manager.Clock.Now() >= o.call.Deadline:
+		reason = exchanger.ReasonDeadline
+	default:
+		p.manager.counters.Lost.Add(1)
+	}
+	if o.started {
+		return exchanger.Result{Outcome: exchanger.Answered, Reason: reason}
+	}
+	return exchanger.Lost(reason, "")
+}
+
+func requestMessage(c *exchanger.Call, relay bool, now timekeeper.Millis) *framer.Request {
+	m := &framer.Request{
+		Id:           string(c.ID),
+		Service:      string(c.Service),
+		Site:         string(c.Site),
+		Origin:       string(c.Origin),
+		Method:       c.Method,
+		Target:       c.Target,
+		Host:         c.Host,
+		Headers:      toHeaders(c.Header),
+		Length:       c.Length,
+		Relay:        relay,
+		BodyIncluded: c.Body == nil,
+		Body:         c.Short,
+	}
+	if c.Deadline > 0 {
+		m.RemainingMillis = int64(max(c.Deadline-now, 1))
+	}
+	return m
+}
+
+func toHeaders(h http.Header) []*framer.Header {
+	out := make([]*framer.Header, 0, len(h))
+	for n, v := range h {
+		out = append(out, &framer.Header{Name: n, Values: v})
+	}
+	return out
+}
+
+func fromHeaders(list []*framer.Header) http.Header {
+	h := make(http.Header, len(list))
+	for _, f := range list {
+		h[f.Name] = f.Values
+	}
+	return h
+}
--- /dev/null
+++ b/internal/connection/linker/manager.go
@@ -0,0 +1,247 @@
+package linker
+
+import (
+	"context"
+	"net"
+	"sync"
+	"time"
+
+	"google.golang.org/protobuf/proto"
+
+	"github.com/gullvale/gullvale/internal/connection/framer"
+	"github.com/gullvale/gullvale/internal/connection/pooler"
+	"github.com/gullvale/gullvale/internal/request/exchanger"
+	"github.com/gullvale/gullvale/pkg/registrar"
+	"github.com/gullvale/gullvale/pkg/storer"
+	"github.com/gullvale/gullvale/pkg/timekeeper"
+)
+
+const (
+	// subscribed is how long after a request for an upstream owned here its
+	// sender is told of free slots.
+	subscribed = 60 * timekeeper.Second
+
+	dialTimeout = 3 * timekeeper.Second
+)
+
+type (
+	// Manager holds the links of one daemon. Set the exported fields before
+	// use.
+	Manager struct {
+		Clock timekeeper.Clock
+		// Self describes this daemon.
+		Self func() registrar.Member
+		// Dial connects to the link address of a member. Nil means TCP.
+		Dial func(ctx context.Context, address string) (net.Conn, error)
+		// Serve runs a request that came over a link. relay tells that this
+		// daemon may choose the owner; otherwise it must be the owner.
+		Serve func(ctx context.Context, c *exchanger.Call, relay bool) exchanger.Result
+		// Control receives the frames of control streams, other than those
+		// the manager handles. It runs on the goroutine of the session.
+		Control func(s *Session, f framer.Frame)
+		// Accepted is told of sessions that others dialled.
+		Accepted func(s *Session)
+		// Closed is told of sessions that ended.
+		Closed func(s *Session)
+
+		counters Counters
+
+		lock     sync.Mutex
+		peers    map[registrar.Incarnation]*Peer
+		accepted map[*Session]struct{}
+	}
+)
+
+// Counters returns the traffic counters.
+func (m *Manager) Counters() *Counters {
+	return &m.counters
+}
+
+// Accept serves links on l until ctx ends.
+func (m *Manager) Accept(ctx context.Context, l net.Listener) {
+	stop := context.AfterFunc(ctx, func() { l.Close() })
+	defer stop()
+	for {
+		conn, err := l.Accept()
+		if err != nil {
+			return
+		}
+		go m.runAccepted(ctx, conn)
+	}
+}
+
+func (m *Manager) runAccepted(ctx context.Context, conn net.Conn) {
+	s, err := accept(conn, m.Self(), &m.counters)
+	if err != nil {
+		return
+	}
+	stop := context.AfterFunc(ctx, s.Close)
+	defer stop()
+	m.lock.Lock()
+	if m.accepted == nil {
+		m.accepted = map[*Session]struct{}{}
+	}
+	m.accepted[s] = struct{}{}
+	m.lock.Unlock()
+	if m.Accepted != nil {
+		m.Accepted(s)
+	}
+	go m.runStreams(ctx, s)
+	m.readControl(s, nil)
+	m.lock.Lock()
+	delete(m.accepted, s)
+	m.lock.Unlock()
+}
+
+// readControl handles control frames until the session ends.
+func (m *Manager) readControl(s *Session, p *Peer) {
+	defer s.Close()
+	for {
+		f, err := s.reader.Read()
+		if err != nil {
+			break
+		}
+		if f.Kind == framer.KindFree && p != nil {
+			p.noteFree(f)
+			continue
+		}
+		if m.Control != nil {
+			m.Control(s, f)
+		}
+	}
+	if m.Closed != nil {
+		m.Closed(s)
+	}
+}
+
+// Peer returns the link to a member, and starts it if there is none.
+func (m *Manager) Peer(ctx context.Context, to registrar.Member) *Peer {
+	m.lock.Lock()
+	defer m.lock.Unlock()
+	p := m.peers[to.Incarnation]
+	if p != nil {
+		return p
+	}
+	if m.peers == nil {
+		m.peers = map[registrar.Incarnation]*Peer{}
+	}
+	p = newPeer(m, to)
+	m.peers[to.Incarnation] = p
+	ctx, p.cancel = context.WithCancel(ctx)
+	go p.run(ctx)
+	return p
+}
+
+// Linked returns the link to a member if it is up now.
+func (m *Manager) Linked(i registrar.Incarnation) *Peer {
+	m.lock.Lock()
+	defer m.lock.Unlock()
+	if p := m.peers[i]; p != nil && p.Up() {
+		return p
+	}
+	return nil
+}
+
+// Keep ends the links to members for which keep returns false. It is told how
+// long no request went over the link. It returns how many were ended.
+func (m *Manager) Keep(keep func(i registrar.Incarnation, idle time.Duration) bool) int {
+	m.lock.Lock()
+	defer m.lock.Unlock()
+	now := m.Clock.Now()
+	dropped := 0
+	for i, p := range m.peers {
+		if !keep(i, (now - p.lastUse()).Duration()) {
+			p.cancel()
+			delete(m.peers, i)
+			dropped++
+		}
+	}
+	return dropped
+}
+
+// Sessions returns the links that others dialled.
+func (m *Manager) Sessions() []*Session {
+	m.lock.Lock()
+	defer m.lock.Unlock()
+	out := make([]*Session, 0, len(m.accepted))
+	for s := range m.accepted {
+		out = append(out, s)
+	}
+	return out
+}
+
+// Announce tells the free slots of a pool to those who hand requests to it: the
+// daemons of its site, and others that did so lately.
+func (m *Manager) Announce(k pooler.Key, free, slots int) {
+	since := m.Clock.Now() - subscribed
+	for _, s := range m.Sessions() {
+		if s.remote.Site == k.Site || s.usedSince(since) {
+			m.Tell(s, k, free, slots)
+		}
+	}
+}
+
+// Tell tells one link the free slots of a pool.
+func (m *Manager) Tell(s *Session, k pooler.Key, free, slots int) {
+	m.send(s, framer.KindFree, &framer.Free{
+		Service: string(k.Service),
+		Site:    string(k.Site),
+		Free:    int32(free),
+		Slots:   uint32(slots),
+	})
+}
+
+// Fetch asks the daemon at an address, whoever it is, for the relayed objects
+// behind a revision. It hands batches to take until that returns false.
+func (m *Manager) Fetch(ctx context.Context, address string, since storer.Revision, take func(storer.Batch) bool,
+	read func(framer.Frame) (storer.Batch, error)) error {
+	conn, err := m.DialAddress(ctx, address)
+	if err != nil {
+		return err
+	}
+	stop := context.AfterFunc(ctx, func() { conn.Close() })
+	defer stop()
+	s, err := open(conn, m.Self(), &m.counters)
+	if err != nil {
+		conn.Close()
+		return err
+	}
+	defer s.Close()
+	if err := s.Send(framer.KindFetch, &framer.Fetch{Revision: uint64(since)}); err != nil {
+		return err
+	}
+	for {
+		f, err := s.reader.Read()
+		if err != nil {
+			return err
+		}
+		if f.Kind != framer.KindObjects {
+			continue
+		}
+		b, err := read(f)
+		if err != nil {
+			return err
+		}
+		if !take(b) {
+			return nil
+		}
+	}
+}
+
+// DialAddress connects to a link address, without speaking there.
+func (m *Manager) DialAddress(ctx context.Context, address string) (net.Conn, error) {
+	ctx, cancel := context.WithTimeout(ctx, dialTimeout.Duration())
+	defer cancel()
+	m.counters.Dials.Add(1)
+	if m.Dial != nil {
+		return m.Dial(ctx, address)
+	}
+	var d net.Dialer
+	return d.DialContext(ctx, "tcp", address)
+}
+
+func (m *Manager) send(s *Session, k framer.Kind, msg proto.Message) {
+	if err := s.Send(k, msg); err != nil {
+		s.Close()
+	}
+}
--- /dev/null
+++ b/internal/connection/linker/serve.go
@@ -0,0 +1,146 @@
+package linker
+
+import (
+	"context"
+	"io"
+	"net"
+	"net/http"
+
+	"github.com/gullvale/gullvale/internal/connection/framer"
+	"github.com/gullvale/gullvale/internal/request/exchanger"
+	"github.com/gullvale/gullvale/internal/version/resolver"
+	"github.com/gullvale/gullvale/pkg/registrar"
+	"github.com/gullvale/gullvale/pkg/timekeeper"
+)
+
+// inCall is one request that came over a link.
+type inCall struct {
+	writer *framer.Writer
+	reader *framer.Reader
+	cancel context.CancelFunc
+	// body receives the body; nil when it came with the head.
+	body    *io.PipeWriter
+	trailer http.Header
+}
+
+// runStreams serves the requests of a session.
+func (m *Manager) runStreams(ctx context.Context, s *Session) {
+	for {
+		stream, err := s.mux.AcceptStream()
+		if err != nil {
+			return
+		}
+		go m.runStream(ctx, s, stream)
+	}
+}
+
+func (m *Manager) runStream(ctx context.Context, s *Session, stream net.Conn) {
+	defer stream.Close()
+	ctx, cancel := context.WithCancel(ctx)
+	defer cancel()
+	in := &inCall{writer: framer.NewWriter(stream), reader: framer.NewReader(stream), cancel: cancel}
+	f, err := in.reader.Read()
+	var q framer.Request
+	if err != nil || f.Kind != framer.KindRequest || f.Decode(&q) != nil {
+		return
+	}
+	m.counters.Received.Add(1)
+	if !q.Relay {
+		s.direct.Store(int64(m.Clock.Now()))
+	}
+	c := in.call(&q, m.Clock.Now())
+	go in.runRead()
+	r := m.Serve(ctx, c, q.Relay)
+	_ = in.writer.Message(framer.KindEnd, &framer.End{
+		Outcome:          uint32(r.Outcome),
+		Whole:            r.Whole,
+		Reason:           string(r.Reason),
+		RetryAfterMillis: int64(r.RetryAfter),
+		Upstream:         r.Upstream,
+		Trailers:         toHeaders(in.trailer),
+	})
+}
+
+// call builds the call whose answer goes back over the stream.
+func (in *inCall) call(q *framer.Request, now timekeeper.Millis) *exchanger.Call {
+	c := &exchanger.Call{
+		Head: exchanger.Head{
+			ID:      exchanger.RequestID(q.Id),
+			Service: resolver.ServiceName(q.Service),
+			Site:    registrar.Site(q.Site),
+			Origin:  registrar.Site(q.Origin),
+			Method:  q.Method,
+			Target:  q.Target,
+			Host:    q.Host,
+			Header:  fromHeaders(q.Headers),
+			Length:  q.Length,
+		},
+		Start:   in.start,
+		Write:   func(p []byte) error { return in.writer.Bytes(framer.KindChunk, p) },
+		Trailer: func(h http.Header) { in.trailer = h },
+	}
+	if q.RemainingMillis > 0 {
+		c.Deadline = now + timekeeper.Millis(q.RemainingMillis)
+	}
+	if q.BodyIncluded {
+		c.Short = q.Body
+		return c
+	}
+	r, w := io.Pipe()
+	in.body = w
+	c.Body = r
+	c.Admitted = func() { _ = in.writer.Message(framer.KindAdmitted, &framer.Admitted{}) }
+	return c
+}
+
+func (in *inCall) start(a exchanger.Answer) error {
+	return in.writer.Message(framer.KindResponse, &framer.Response{
+		Status:   uint32(a.Status),
+		Headers:  toHeaders(a.Header),
+		Length:   a.Length,
+		Upstream: a.Upstream,
+	})
+}
+
+// runRead passes the body on and notices when the entry gives up: it then
+// closes the stream, which cancels the call.
+func (in *inCall) runRead() {
+	defer in.cancel()
+	for {
+		f, err := in.reader.Read()
+		if err != nil {
+			in.endBody(io.ErrUnexpectedEOF)
+			return
+		}
+		switch f.Kind {
+		case framer.KindChunk:
+			in.writeBody(f.Body)
+		case framer.KindEnd:
+			in.endBodyAs(f)
+		}
+	}
+}
+
+func (in *inCall) writeBody(p []byte) {
+	if in.body == nil {
+		return
+	}
+	// An error means that nobody reads the body any more. The stream is still
+	// read, to notice its end.
+	_, _ = in.body.Write(p)
+}
+
+func (in *inCall) endBodyAs(f framer.Frame) {
+	var m framer.End
+	if f.Decode(&m) == nil && m.Whole {
+		in.endBody(nil)
+		return
+	}
+	in.endBody(io.ErrUnexpectedEOF)
+}
+
+func (in *inCall) endBody(err error) {
+	if in.body != nil {
+		in.body.CloseWithError(err)
+	}
+}
--- /dev/null
+++ b/internal/connection/pooler/pool.go
@@ -0,0 +1,261 @@
+package pooler
+
+import (
+	"container/list"
+	"context"
+	"sync"
+	"sync/atomic"
+
+	"github.com/gullvale/gullvale/internal/request/exchanger"
+	"github.com/gullvale/gullvale/internal/version/resolver"
+	"github.com/gullvale/gullvale/pkg/registrar"
+	"github.com/gullvale/gullvale/pkg/timekeeper"
+)
+
+// retryAfter is when a caller that was refused for want of a slot should come
+// back.
+const retryAfter = timekeeper.Second
+
+type (
+	// Pool is the owned upstreams of one service at one site.
+	Pool struct {
+		clock timekeeper.Clock
+
+		lock      sync.Mutex
+		settings  *resolver.Service
+		upstreams []*upstream
+		waiting   *list.List
+		work      map[registrar.Site]*Work
+		peak      int
+		notify    func()
+
+		broken atomic.Uint64
+	}
+
+	// Work is what the requests of one origin used.
+	Work struct {
+		SlotMillis uint64
+		Requests   uint64
+	}
+
+	// Load is the state of a pool at one moment.
+	Load struct {
+		Slots   int
+		Busy    int
+		Waiting int
+		// Peak is the highest Busy since the load was last taken.
+		Peak int
+	}
+
+	// waiter is a request in line. Its channel receives the upstream whose
+	// slot it was given.
+	waiter struct {
+		granted chan *upstream
+	}
+)
+
+func newPool(c timekeeper.Clock, s *resolver.Service, notify func()) *Pool {
+	return &Pool{
+		clock:    c,
+		settings: s,
+		waiting:  list.New(),
+		work:     map[registrar.Site]*Work{},
+		notify:   notify,
+	}
+}
+
+// acquire gets a slot, waiting in line for it if need be. The result tells why
+// there is none.
+func (p *Pool) acquire(ctx context.Context, deadline timekeeper.Millis) (*upstream, exchanger.Result) {
+	p.lock.Lock()
+	if p.waiting.Len() == 0 {
+		if u := p.pick(); u != nil {
+			p.hold(u)
+			p.lock.Unlock()
+			return u, exchanger.Result{}
+		}
+	}
+	if r, refused := p.refusal(); refused {
+		p.lock.Unlock()
+		return nil, r
+	}
+	w := &waiter{granted: make(chan *upstream, 1)}
+	e := p.waiting.PushBack(w)
+	p.lock.Unlock()
+	p.notify()
+	return p.wait(ctx, e, w, deadline)
+}
+
+// refusal tells why a request may not wait. The caller holds the lock.
+func (p *Pool) refusal() (exchanger.Result, bool) {
+	if len(p.upstreams) == 0 {
+		return exchanger.Refused(exchanger.ReasonNotOwner, retryAfter), true
+	}
+	if !p.anyOwned() {
+		return exchanger.Refused(exchanger.ReasonNoUpstream, retryAfter), true
+	}
+	if p.waiting.Len() >= p.settings.QueueLength {
+		return exchanger.Refused(exchanger.ReasonQueueFull, retryAfter), true
+	}
+	return exchanger.Result{}, false
+}
+
+func (p *Pool) anyOwned() bool {
+	for _, u := range p.upstreams {
+		if !u.removed && !u.leaving {
+			return true
+		}
+	}
+	return false
+}
+
+func (p *Pool) wait(ctx context.Context, e *list.Element, w *waiter, deadline timekeeper.Millis) (*upstream, exchanger.Result) {
+	if deadline > 0 {
+		var cancel context.CancelFunc
+		ctx, cancel = context.WithTimeout(ctx, (deadline - p.clock.Now()).Duration())
+		defer cancel()
+	}
+	select {
+	case u := <-w.granted:
+		return p.granted(u)
+	case <-ctx.Done():
+	}
+	p.lock.Lock()
+	select {
+	case u := <-w.granted:
+		// The slot came at the last moment. It goes to the next in line.
+		p.lock.Unlock()
+		if u != nil {
+			p.release(u)
+		}
+	default:
+		p.waiting.Remove(e)
+		p.lock.Unlock()
+	}
+	p.notify()
+	reason := exchanger.ReasonCancelled
+	if deadline > 0 && p.clock.Now() >= deadline {
+		reason = exchanger.ReasonDeadline
+	}
+	return nil, exchanger.Refused(reason, retryAfter)
+}
+
+func (p *Pool) granted(u *upstream) (*upstream, exchanger.Result) {
+	if u == nil {
+		return nil, exchanger.Refused(exchanger.ReasonNotOwner, 0)
+	}
+	return u, exchanger.Result{}
+}
+
+// pick returns the upstream with the most free slots, nil when none is free.
+// The caller holds the lock.
+func (p *Pool) pick() *upstream {
+	now := p.clock.Now()
+	var best *upstream
+	most := 0
+	for _, u := range p.upstreams {
+		if free := u.limit(p.settings.Slots, now) - u.busy; free > most {
+			best, most = u, free
+		}
+	}
+	return best
+}
+
+// hold takes a slot of u. The caller holds the lock.
+func (p *Pool) hold(u *upstream) {
+	u.busy++
+	p.peak = max(p.peak, p.busy())
+}
+
+func (p *Pool) busy() int {
+	n := 0
+	for _, u := range p.upstreams {
+		n += u.busy
+	}
+	return n
+}
+
+// release gives the slot of u back and hands free slots to those in line.
+func (p *Pool) release(u *upstream) {
+	p.lock.Lock()
+	u.busy--
+	if u.busy < 0 {
+		// A slot was given back twice: the counts can no longer be trusted.
+		p.broken.Add(1)
+		panic("pooler: slot of " + u.address + " released twice")
+	}
+	p.prune()
+	p.serve()
+	p.lock.Unlock()
+	p.notify()
+}
+
+// serve hands free slots to the line. The caller holds the lock.
+func (p *Pool) serve() {
+	for p.waiting.Len() > 0 {
+		u := p.pick()
+		if u == nil {
+			break
+		}
+		p.hold(u)
+		p.waiting.Remove(p.waiting.Front()).(*waiter).granted <- u
+	}
+	if p.anyOwned() {
+		return
+	}
+	for p.waiting.Len() > 0 {
+		p.waiting.Remove(p.waiting.Front()).(*waiter).granted <- nil
+	}
+}
+
+// prune forgets upstreams that are owned no more and have no request left.
+func (p *Pool) prune() {
+	kept := p.upstreams[:0]
+	for _, u := range p.upstreams {
+		if u.removed && u.busy == 0 {
+			u.transport.CloseIdleConnections()
+			continue
+		}
+		kept = append(kept, u)
+	}
+	clear(p.upstreams[len(kept):])
+	p.upstreams = kept
+}
+
+func (p *Pool) account(origin registrar.Site, held timekeeper.Millis) {
+	p.lock.Lock()
+	defer p.lock.Unlock()
+	w := p.work[origin]
+	if w == nil {
+		w = &Work{}
+		p.work[origin] = w
+	}
+	w.SlotMillis += uint64(held)
+	w.Requests++
+}
+
+// Free returns how many requests more could start now, below 0 by the number
+// that wait, and the slots of the pool.
+func (p *Pool) Free() (free, slots int) {
+	p.lock.Lock()
+	defer p.lock.Unlock()
+	now := p.clock.Now()
+	for _, u := range p.upstreams {
+		n := u.limit(p.settings.Slots, now)
+		slots += n
+		free += max(n-u.busy, 0)
+	}
+	return free - p.waiting.Len(), slots
+}
+
+// TakeLoad returns the load and the work since the last call.
+func (p *Pool) TakeLoad() (Load, map[registrar.Site]*Work) {
+	_, slots := p.Free()
+	p.lock.Lock()
+	defer p.lock.Unlock()
+	l := Load{Slots: slots, Busy: p.busy(), Waiting: p.waiting.Len(), Peak: p.peak}
+	p.peak = l.Busy
+	w := p.work
+	p.work = map[registrar.Site]*Work{}
+	return l, w
+}
--- /dev/null
+++ b/internal/process/changer/changer.go
@@ -0,0 +1,230 @@
+package changer
+
+import (
+	"context"
+	"encoding/json"
+	"fmt"
+
+	"github.com/rotisserie/eris"
+
+	"github.com/gullvale/gullvale/internal/version/applier"
+	"github.com/gullvale/gullvale/internal/version/parser"
+	"github.com/gullvale/gullvale/internal/version/resolver"
+	"github.com/gullvale/gullvale/pkg/recorder"
+	"github.com/gullvale/gullvale/pkg/timekeeper"
+)
+
+type (
+	// Changer accepts changes. Set the exported fields before use.
+	Changer struct {
+		Clock   timekeeper.Clock
+		Log     *recorder.Log
+		Applier *applier.Applier
+		// Guard finds what a tree would overload. Nil means no check.
+		Guard func(resolver.Tree) parser.Problems
+		// Advanced is told when the number in force here went up.
+		Advanced func()
+	}
+
+	// Request is a change that an operator asks for.
+	Request struct {
+		ID   recorder.ChangeID
+		Who  string
+		From string
+		Why  string
+		// Base is the number that the operator had seen, 0 for the newest.
+		Base  recorder.Number
+		Edits []resolver.Edit
+		// Undo names the change to take back; Edits is empty then.
+		Undo   recorder.Number
+		DryRun bool
+		// Force accepts a change that the guard objects to.
+		Force bool
+	}
+
+	// Result is an accepted change, or what a dry run would have done.
+	Result struct {
+		Change recorder.Change
+		Edits  []resolver.Edit
+		// Warnings is what the guard objects to.
+		Warnings parser.Problems `json:",omitempty"`
+		DryRun   bool            `json:",omitempty"`
+	}
+
+	// GuardError is a change that the guard refused.
+	GuardError struct {
+		Problems parser.Problems
+	}
+)
+
+// ErrNothing reports a change that changes nothing.
+var ErrNothing = eris.New("the settings are already so")
+
+// Error lists what the change would overload.
+func (e *GuardError) Error() string {
+	return e.Problems.Error()
+}
+
+// Change records a change, or says why not: parser.Problems, GuardError,
+// recorder.ConflictError, ErrNothing, or the store's errors.
+func (c *Changer) Change(ctx context.Context, r Request) (Result, error) {
+	if err := c.catchUp(ctx); err != nil {
+		return Result{}, err
+	}
+	done, err := c.earlier(&r)
+	if err != nil || done != nil {
+		return c.result(r, done), err
+	}
+	tree, head := c.Applier.State()
+	if r.Undo > 0 {
+		if r.Edits, err = c.undo(r); err != nil {
+			return Result{}, err
+		}
+	}
+	change, warnings, err := c.prepare(tree, r)
+	if err != nil || r.DryRun {
+		return Result{Change: change, Edits: r.Edits, Warnings: warnings, DryRun: r.DryRun}, err
+	}
+	made, err := c.Log.Append(ctx, change, head, func(theirs recorder.Change) error {
+		return c.rebase(r, theirs)
+	})
+	if err != nil {
+		return Result{}, err
+	}
+	c.add(made)
+	c.snapshot(ctx, made.Number)
+	return Result{Change: made, Edits: r.Edits, Warnings: warnings}, nil
+}
+
+// catchUp brings the settings here to the newest that the platform shows.
+func (c *Changer) catchUp(ctx context.Context) error {
+	_, n := c.Applier.State()
+	changes, err := c.Log.Read(ctx, n)
+	for _, x := range changes {
+		c.add(x)
+	}
+	return err
+}
+
+func (c *Changer) add(x recorder.Change) {
+	if c.Applier.Add(x) && c.Advanced != nil {
+		c.Advanced()
+	}
+}
+
+// earlier looks at the changes since the operator looked: one may be this very
+// change, and one may stand in its way.
+func (c *Changer) earlier(r *Request) (*recorder.Change, error) {
+	base := r.Base
+	for _, x := range c.Applier.History(0) {
+		if x.ID == r.ID {
+			return &x, nil
+		}
+	}
+	if base == 0 {
+		return nil, nil
+	}
+	for _, x := range c.Applier.History(base) {
+		if err := clash(r.Edits, x); err != nil {
+			return nil, err
+		}
+	}
+	return nil, nil
+}
+
+func (c *Changer) result(r Request, done *recorder.Change) Result {
+	if done == nil {
+		return Result{}
+	}
+	return Result{Change: *done, Edits: r.Edits}
+}
+
+func clash(edits []resolver.Edit, theirs recorder.Change) error {
+	content, err := applier.ContentOf(theirs)
+	if err != nil {
+		return err
+	}
+	if resolver.Clash(edits, content.Edits) {
+		return &recorder.ConflictError{Theirs: theirs}
+	}
+	return nil
+}
+
+// undo returns the edits that take a change back. A later change of the same
+// settings stands in the way.
+func (c *Changer) undo(r Request) ([]resolver.Edit, error) {
+	for _, x := range c.Applier.History(r.Undo - 1) {
+		content, err := applier.ContentOf(x)
+		if err != nil {
+			return nil, err
+		}
+		if x.Number == r.Undo {
+			r.Edits = content.Inverse
+			continue
+		}
+		if r.Edits != nil && !r.Force && resolver.Clash(r.Edits, content.Edits) {
+			return nil, &recorder.ConflictError{Theirs: x}
+		}
+	}
+	if r.Edits == nil {
+		return nil, parser.Problems{{Path: fmt.Sprintf("change %d", r.Undo), Text: "is not among the changes kept"}}
+	}
+	return r.Edits, nil
+}
+
+// prepare checks a change against a tree.
+func (c *Changer) prepare(tree resolver.Tree, r Request) (recorder.Change, parser.Problems, error) {
+	change := recorder.Change{
+		ID:       r.ID,
+		Who:      r.Who,
+		From:     r.From,
+		AtMillis: c.Clock.WallNow(),
+		Why:      r.Why,
+		Undoes:   r.Undo,
+	}
+	next, problems := tree.Apply(r.Edits)
+	if len(problems) > 0 {
+		return change, nil, problems
+	}
+	if len(tree.Difference(next)) == 0 {
+		return change, nil, ErrNothing
+	}
+	body, err := json.Marshal(applier.Content{Edits: r.Edits, Inverse: tree.Inverse(r.Edits)})
+	if err != nil {
+		return change, nil, eris.Wrap(err, "encode change")
+	}
+	change.Body = body
+	warnings := c.guard(next)
+	if len(warnings) > 0 && !r.Force && !r.DryRun {
+		return change, warnings, &GuardError{Problems: warnings}
+	}
+	return change, warnings, nil
+}
+
+func (c *Changer) guard(next resolver.Tree) parser.Problems {
+	if c.Guard == nil {
+		return nil
+	}
+	return c.Guard(next)
+}
+
+// rebase asks whether the change still holds behind one that was faster.
+func (c *Changer) rebase(r Request, theirs recorder.Change) error {
+	if err := clash(r.Edits, theirs); err != nil {
+		return err
+	}
+	c.add(theirs)
+	tree, _ := c.Applier.State()
+	_, _, err := c.prepare(tree, r)
+	return err
+}
+
+// snapshot stores the state now and then. A failure costs readers time only.
+func (c *Changer) snapshot(ctx context.Context, n recorder.Number) {
+	if n%recorder.SnapshotEvery != 0 {
+		return
+	}
+	if s, err := c.Applier.Snapshot(); err == nil {
+		_ = c.Log.SaveSnapshot(ctx, s)
+	}
+}
--- /dev/null
+++ b/internal/process/configurer/config.go
@@ -0,0 +1,223 @@
+package configurer
+
+import (
+	"encoding/hex"
+	"fmt"
+	"net/netip"
+	"net/url"
+	"os"
+	"regexp"
+	"slices"
+	"strconv"
+	"strings"
+
+	"github.com/sirupsen/logrus"
+
+	"github.com/gullvale/gullvale/internal/version/parser"
+	"github.com/gullvale/gullvale/pkg/registrar"
+	"github.com/gullvale/gullvale/pkg/timekeeper"
+)
+
+// EnvPlatformToken overrides Platform.Token, so that the file need not hold a
+// secret.
+const EnvPlatformToken = "GULLVALE_PLATFORM_TOKEN"
+
+// The roles of operators, each of which may do what those before it may.
+const (
+	RoleNone Role = iota
+	RoleView
+	RoleSteer
+	RoleAdminister
+)
+
+const (
+	hashBytes  = 32
+	tokenParts = 2
+)
+
+var (
+	namePattern = regexp.MustCompile(`^[a-z][a-z0-9-]{0,39}$`)
+	roleNames   = map[string]Role{"view": RoleView, "steer": RoleSteer, "administer": RoleAdminister}
+
+	fields = []field{
+		{"Name", parser.KindText, true, func(c *Config, e parser.Entry) error { return name(&c.Name, e.Text) }},
+		{"Region", parser.KindText, true, func(c *Config, e parser.Entry) error { return name(&c.Region, e.Text) }},
+		{"Domain", parser.KindText, true, func(c *Config, e parser.Entry) error { return name(&c.Domain, e.Text) }},
+		{"Callers", parser.KindText, true, func(c *Config, e parser.Entry) error { return address(&c.Callers, e.Text) }},
+		{"Links", parser.KindText, true, func(c *Config, e parser.Entry) error { return address(&c.Links, e.Text) }},
+		{"Operators", parser.KindText, true, func(c *Config, e parser.Entry) error { return address(&c.Operators, e.Text) }},
+		{"Seeds", parser.KindList, false, func(c *Config, e parser.Entry) error { return seeds(c, e.List) }},
+		{"Platform.Address", parser.KindText, true, func(c *Config, e parser.Entry) error { return platform(c, e.Text) }},
+		{"Platform.Token", parser.KindText, false, func(c *Config, e parser.Entry) error { c.PlatformToken = e.Text; return nil }},
+		{"LogLevel", parser.KindText, false, func(c *Config, e parser.Entry) error { return level(c, e.Text) }},
+		{"StopMillis", parser.KindNumber, false, func(c *Config, e parser.Entry) error { return millis(&c.StopMillis, e.Text) }},
+	}
+)
+
+type (
+	// Role is what an operator may do.
+	Role uint8
+
+	// Token is one operator's token, kept as its SHA-256 hash.
+	Token struct {
+		Who  string
+		Role Role
+		Hash [hashBytes]byte
+	}
+
+	// Config is the settings of one daemon.
+	Config struct {
+		Name            string
+		Region          string
+		Domain          string
+		Callers         string
+		Links           string
+		Operators       string
+		Seeds           []string
+		PlatformAddress string
+		PlatformToken   string
+		LogLevel        logrus.Level
+		// StopMillis bounds the wait for requests in flight at a stop; 0 is
+		// no bound.
+		StopMillis timekeeper.Millis
+		Tokens     []Token
+	}
+
+	field struct {
+		name     string
+		kind     parser.Kind
+		required bool
+		set      func(*Config, parser.Entry) error
+	}
+)
+
+// Site returns the daemon's region and failure domain.
+func (c Config) Site() registrar.Site {
+	return registrar.Site(c.Region + "/" + c.Domain)
+}
+
+// ReadFile reads and checks a settings file. All problems are reported at once.
+func ReadFile(path string) (Config, parser.Problems) {
+	data, err := os.ReadFile(path)
+	if err != nil {
+		return Config{}, parser.Problems{{Text: err.Error()}}
+	}
+	return Read(path, data)
+}
+
+// Read reads and checks the text of a settings file.
+func Read(file string, data []byte) (Config, parser.Problems) {
+	c := Config{LogLevel: logrus.InfoLevel}
+	entries, problems := parser.Parse(file, data)
+	if len(problems) > 0 {
+		return c, problems
+	}
+	seen := map[string]bool{}
+	for _, e := range entries {
+		if err := c.entry(e); err != nil {
+			problems = append(problems, parser.Problem{Position: e.Position, Path: e.Name(), Text: err.Error()})
+		}
+		seen[e.Name()] = true
+	}
+	for _, f := range fields {
+		if f.required && !seen[f.name] {
+			problems = append(problems, parser.Problem{Position: parser.Position{File: file}, Path: f.name, Text: "is missing"})
+		}
+	}
+	if t := os.Getenv(EnvPlatformToken); t != "" {
+		c.PlatformToken = t
+	}
+	return c, problems
+}
+
+func (c *Config) entry(e parser.Entry) error {
+	if len(e.Path) == tokenParts && e.Path[0] == "Tokens" {
+		return c.token(e)
+	}
+	i := slices.IndexFunc(fields, func(f field) bool { return f.name == e.Name() })
+	if i < 0 {
+		return fmt.Errorf("unknown setting%s", suggestion(e.Name()))
+	}
+	if fields[i].kind != e.Kind {
+		return fmt.Errorf("has a value of the wrong kind")
+	}
+	return fields[i].set(c, e)
+}
+
+func suggestion(name string) string {
+	for _, f := range fields {
+		if strings.EqualFold(f.name, name) || strings.EqualFold(f.name, strings.TrimSuffix(name, "s")) {
+			return fmt.Sprintf("; did you mean %s?", f.name)
+		}
+	}
+	return ""
+}
+
+// token reads `anna = "steer <hash>"`.
+func (c *Config) token(e parser.Entry) error {
+	role, hash, _ := strings.Cut(e.Text, " ")
+	t := Token{Who: e.Path[1], Role: roleNames[role]}
+	if t.Role == RoleNone {
+		return fmt.Errorf("%q is not one of view, steer, administer", role)
+	}
+	raw, err := hex.DecodeString(strings.TrimSpace(hash))
+	if err != nil || len(raw) != hashBytes {
+		return fmt.Errorf("needs a role and the SHA-256 of the token in hex, as `gullvale token` prints")
+	}
+	copy(t.Hash[:], raw)
+	c.Tokens = append(c.Tokens, t)
+	return nil
+}
+
+func name(to *string, text string) error {
+	if !namePattern.MatchString(text) {
+		return fmt.Errorf("%q is not a name (a-z, 0-9 and '-', at most 40)", text)
+	}
+	*to = text
+	return nil
+}
+
+func address(to *string, text string) error {
+	if _, err := netip.ParseAddrPort(text); err != nil {
+		return fmt.Errorf("%q is not an IP number with a port", text)
+	}
+	*to = text
+	return nil
+}
+
+func seeds(c *Config, list []string) error {
+	for _, a := range list {
+		if _, err := netip.ParseAddrPort(a); err != nil {
+			return fmt.Errorf("%q is not an IP number with a port", a)
+		}
+	}
+	c.Seeds = list
+	return nil
+}
+
+func platform(c *Config, text string) error {
+	u, err := url.Parse(text)
+	if err != nil || (u.Scheme != "http" && u.Scheme != "https") || u.Host == "" {
+		return fmt.Errorf("%q is not a URL such as http://10.0.0.5:7000", text)
+	}
+	c.PlatformAddress = strings.TrimSuffix(text, "/")
+	return nil
+}
+
+func level(c *Config, text string) error {
+	l, err := logrus.ParseLevel(text)
+	if err != nil {
+		return fmt.Errorf("%q is not one of error, warn, info, debug", text)
+	}
+	c.LogLevel = l
+	return nil
+}
+
+func millis(to *timekeeper.Millis, text string) error {
+	n, err := strconv.ParseInt(text, 10, 64)
+	if err != nil || n < 0 {
+		return fmt.Errorf("%q is not a time in milliseconds", text)
+	}
+	*to = timekeeper.Millis(n)
+	return nil
+}
--- /dev/null
+++ b/internal/process/joiner/joiner.go
@@ -0,0 +1,223 @@
+package joiner
+
+import (
+	"context"
+	"math/rand/v2"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"github.com/gullvale/gullvale/internal/connection/framer"
+	"github.com/gullvale/gullvale/internal/connection/linker"
+	"github.com/gullvale/gullvale/pkg/leaser"
+	"github.com/gullvale/gullvale/pkg/registrar"
+	"github.com/gullvale/gullvale/pkg/timekeeper"
+)
+
+const (
+	// beat is the time between two heartbeats without news.
+	beat = timekeeper.Second
+
+	// leadSilence is how long without an answer the lead counts as lost.
+	leadSilence = 2500 * timekeeper.Millis(1)
+
+	// Validity is how long a member may act after the lead last confirmed it.
+	// It spans the change of a lead, and is shorter than leader.Silence.
+	Validity = 9 * timekeeper.Second
+
+	// idlePause is how long a member with a healthy lead leaves the lease be.
+	idlePause = 500 * time.Millisecond
+
+	// sentKept is how many heartbeats may be without an answer.
+	sentKept = 64
+)
+
+type (
+	// Joiner is the membership of one daemon. Set the exported fields before
+	// use.
+	Joiner struct {
+		Clock timekeeper.Clock
+		Self  func() registrar.Member
+		Lease *leaser.Lease
+		Links *linker.Manager
+		// Beat fills in a heartbeat.
+		Beat func(*framer.Heartbeat)
+		// Lead is told when this daemon becomes or ceases to be the lead.
+		Lead func(leaser.Fence, bool)
+		// SelfBeat delivers the heartbeats of a lead to itself.
+		SelfBeat func(*framer.Heartbeat) *framer.Ack
+		// Shun tells that this daemon must not take the lead now.
+		Shun func() bool
+
+		pause pauseDetector
+		poke  chan struct{}
+		seq   atomic.Uint64
+
+		lock      sync.Mutex
+		sent      map[uint64]timekeeper.Millis
+		confirmed timekeeper.Millis
+		answered  timekeeper.Millis
+		pauses    uint64
+		lead      registrar.Incarnation
+	}
+)
+
+// Start prepares j. It must be called before anything else.
+func (j *Joiner) Start(ctx context.Context) {
+	j.pause.clock = j.Clock
+	j.poke = make(chan struct{}, 1)
+	j.sent = map[uint64]timekeeper.Millis{}
+	go j.pause.loop(ctx)
+	go j.runLease(ctx)
+	go j.runBeats(ctx)
+}
+
+// Valid tells whether this daemon may act as a member now. It is false after a
+// pause until the lead has confirmed the membership anew, and when the lead has
+// not done so for too long although the platform, which tells who leads, can be
+// reached. While it cannot, nobody else is given what this member has.
+func (j *Joiner) Valid() bool {
+	pauses := j.pause.check()
+	j.lock.Lock()
+	defer j.lock.Unlock()
+	if j.confirmed == 0 || pauses != j.pauses {
+		return false
+	}
+	return j.Clock.Now() < j.confirmed+Validity || !j.Lease.Reachable()
+}
+
+// Poke sends a heartbeat soon, since there is news.
+func (j *Joiner) Poke() {
+	select {
+	case j.poke <- struct{}{}:
+	default:
+	}
+}
+
+// LeadHealthy tells whether the lead answered lately.
+func (j *Joiner) LeadHealthy() bool {
+	j.lock.Lock()
+	defer j.lock.Unlock()
+	return j.answered != 0 && j.Clock.Now() < j.answered+leadSilence
+}
+
+// LeadIs returns the incarnation of the lead that this daemon beats to.
+func (j *Joiner) LeadIs() registrar.Incarnation {
+	j.lock.Lock()
+	defer j.lock.Unlock()
+	return j.lead
+}
+
+// runLease holds the lease of the lead, or looks whether somebody does. A
+// member whose lead answers leaves the platform alone.
+func (j *Joiner) runLease(ctx context.Context) {
+	var was bool
+	for {
+		wait := j.stepLease(ctx)
+		fence, held := j.Lease.Held()
+		if held != was {
+			j.Lead(fence, held)
+			was = held
+			j.Poke()
+		}
+		select {
+		case <-ctx.Done():
+			return
+		case <-time.After(wait):
+		}
+	}
+}
+
+func (j *Joiner) stepLease(ctx context.Context) time.Duration {
+	if _, held := j.Lease.Held(); !held && j.LeadHealthy() {
+		return idlePause
+	}
+	_, held := j.Lease.Held()
+	if !held && j.Shun() {
+		_ = j.Lease.Look(ctx)
+		return idlePause
+	}
+	wait := j.Lease.Step(ctx).Duration()
+	// Members that lost their lead together do not ask together.
+	return wait*3/4 + rand.N(wait/2)
+}
+
+func (j *Joiner) runBeats(ctx context.Context) {
+	t := time.NewTicker(beat.Duration())
+	defer t.Stop()
+	for {
+		j.beat(ctx)
+		select {
+		case <-ctx.Done():
+			return
+		case <-t.C:
+		case <-j.poke:
+		}
+	}
+}
+
+func (j *Joiner) beat(ctx context.Context) {
+	h := &framer.Heartbeat{Sequence: j.seq.Add(1)}
+	now := j.Clock.Now()
+	if _, held := j.Lease.Held(); held {
+		j.Beat(h)
+		j.note(h.Sequence, now)
+		j.setLead(j.Self().Incarnation)
+		if a := j.SelfBeat(h); a != nil {
+			j.Acked(a)
+		}
+		return
+	}
+	r, alive := j.Lease.Current()
+	if r.Holder == "" || r.Holder == string(j.Self().Incarnation) {
+		return
+	}
+	if !alive && !j.LeadHealthy() && j.Lease.Reachable() {
+		return
+	}
+	lead := registrar.Member{Incarnation: registrar.Incarnation(r.Holder), Links: r.Address}
+	p := j.Links.Peer(ctx, lead)
+	j.setLead(lead.Incarnation)
+	if !p.Up() {
+		return
+	}
+	j.Beat(h)
+	j.note(h.Sequence, now)
+	p.Send(framer.KindHeartbeat, h)
+}
+
+func (j *Joiner) setLead(i registrar.Incarnation) {
+	j.lock.Lock()
+	defer j.lock.Unlock()
+	j.lead = i
+}
+
+// note remembers when a heartbeat was sent: an answer confirms the membership
+// from then on, not from when the answer came.
+func (j *Joiner) note(sequence uint64, now timekeeper.Millis) {
+	j.lock.Lock()
+	defer j.lock.Unlock()
+	j.sent[sequence] = now
+	delete(j.sent, sequence-sentKept)
+}
+
+// Acked takes the answer to a heartbeat.
+func (j *Joiner) Acked(a *framer.Ack) {
+	pauses := j.pause.check()
+	j.lock.Lock()
+	defer j.lock.Unlock()
+	sent, ok := j.sent[a.Sequence]
+	if !ok || !a.Lead {
+		return
+	}
+	delete(j.sent, a.Sequence)
+	j.answered = max(j.answered, sent)
+	if !a.Known {
+		return
+	}
+	if j.Clock.Now()-sent < pauseLimit {
+		// The answer is to a heartbeat sent after any pause.
+		j.pauses = pauses
+	}
+	j.confirmed = max(j.confirmed, sent)
+}
--- /dev/null
+++ b/internal/process/joiner/pause.go
@@ -0,0 +1,50 @@
+package joiner
+
+import (
+	"context"
+	"sync/atomic"
+	"time"
+
+	"github.com/gullvale/gullvale/pkg/timekeeper"
+)
+
+const (
+	pauseTick = 100 * time.Millisecond
+
+	// pauseLimit is how long a process may stand still without being taken
+	// for paused. It is well below the time after which others act for it.
+	pauseLimit = 1500 * timekeeper.Millis(1)
+)
+
+// pauseDetector notices that the process stood still: it was stopped, or its VM
+// was. Whichever runs first after the pause, the loop or a question, finds the
+// gap, so no question asked afterwards is answered as if nothing happened.
+type pauseDetector struct {
+	clock  timekeeper.Clock
+	last   atomic.Int64
+	pauses atomic.Uint64
+}
+
+func (d *pauseDetector) loop(ctx context.Context) {
+	t := time.NewTicker(pauseTick)
+	defer t.Stop()
+	d.last.Store(int64(d.clock.Now()))
+	for {
+		select {
+		case <-ctx.Done():
+			return
+		case <-t.C:
+			d.check()
+		}
+	}
+}
+
+// check returns how many pauses there were, the one that just ended included.
+func (d *pauseDetector) check() uint64 {
+	now := int64(d.clock.Now())
+	last := d.last.Swap(now)
+	if last != 0 && timekeeper.Millis(now-last) > pauseLimit {
+		return d.pauses.Add(1)
+	}
+	return d.pauses.Load()
+}
--- /dev/null
+++ b/internal/process/logger/logger.go
@@ -0,0 +1,57 @@
+package logger
+
+import (
+	"fmt"
+	"io"
+	"sync"
+
+	"github.com/sirupsen/logrus"
+	"github.com/zeromicro/go-zero/core/logx"
+	"github.com/zeromicro/go-zero/core/stat"
+)
+
+var once sync.Once
+
+// New returns a logger of structured lines. The first call also routes the logs
+// of go-zero through it, since go-zero has one log for the process.
+func New(w io.Writer, level logrus.Level) *logrus.Logger {
+	l := logrus.New()
+	l.SetOutput(w)
+	l.SetLevel(level)
+	l.SetFormatter(&logrus.JSONFormatter{})
+	once.Do(func() {
+		// go-zero sets up its log once, with a writer of its own. That must
+		// have happened before the writer is replaced.
+		_ = logx.SetUp(logx.LogConf{Mode: "console"})
+		logx.SetWriter(bridge{l})
+		logx.DisableStat()
+		stat.DisableLog()
+	})
+	return l
+}
+
+// bridge is go-zero's log writer over logrus. What go-zero logs for each
+// request, failed ones included, is at debug level here: requests are counted,
+// not logged, and their errors reach the caller anyway.
+type bridge struct {
+	log *logrus.Logger
+}
+
+func (b bridge) entry(fields []logx.LogField) *logrus.Entry {
+	e := b.log.WithField("source", "go-zero")
+	for _, f := range fields {
+		e = e.WithField(f.Key, f.Value)
+	}
+	return e
+}
+
+func (b bridge) Alert(v any)                          { b.entry(nil).Error(text(v)) }
+func (b bridge) Close() error                         { return nil }
+func (b bridge) Debug(v any, fields ...logx.LogField) { b.entry(fields).Debug(text(v)) }
+func (b bridge) Error(v any, fields ...logx.LogField) { b.entry(fields).Debug(text(v)) }
+func (b bridge) Info(v any, fields ...logx.LogField)  { b.entry(fields).Debug(text(v)) }
+func (b bridge) Severe(v any)                         { b.entry(nil).Error(text(v)) }
+func (b bridge) Slow(v any, fields ...logx.LogField)  { b.entry(fields).Debug(text(v)) }
+func (b bridge) Stack(v any)                          { b.entry(nil).Error(text(v)) }
+func (b bridge) Stat(v any, fields ...logx.LogField)  { b.entry(fields).Debug(text(v)) }
+func text(v any) string                               { return fmt.Sprint(v) }
--- /dev/null
+++ b/internal/process/measurer/meter.go
@@ -0,0 +1,136 @@
+package measurer
+
+import (
+	"io"
+	"net/http"
+	"sync"
+	"time"
+
+	"github.com/uber-go/tally/v4"
+	"github.com/uber-go/tally/v4/prometheus"
+)
+
+const (
+	namespace     = "gullvale"
+	flushInterval = time.Second
+)
+
+// latencyBuckets cover a look-up in microseconds to an export of an hour.
+var latencyBuckets = tally.DurationBuckets{
+	0,
+	500 * time.Microsecond,
+	1 * time.Millisecond,
+	2 * time.Millisecond,
+	5 * time.Millisecond,
+	10 * time.Millisecond,
+	20 * time.Millisecond,
+	35 * time.Millisecond,
+	50 * time.Millisecond,
+	75 * time.Millisecond,
+	100 * time.Millisecond,
+	150 * time.Millisecond,
+	250 * time.Millisecond,
+	500 * time.Millisecond,
+	time.Second,
+	2500 * time.Millisecond,
+	5 * time.Second,
+	10 * time.Second,
+	time.Minute,
+	time.Hour,
+}
+
+type (
+	// Meter is the metrics of one daemon. Build it with New.
+	Meter struct {
+		scope    tally.Scope
+		reporter prometheus.Reporter
+		closer   io.Closer
+
+		counters   sync.Map
+		histograms sync.Map
+	}
+
+	// Labels tell metrics of one name apart.
+	Labels struct {
+		Service string
+		Class   string
+		// Kind is the outcome, the reason, or whatever the name says.
+		Kind string
+	}
+
+	metricKey struct {
+		name   string
+		labels Labels
+	}
+)
+
+// New starts a meter.
+func New() *Meter {
+	r := prometheus.NewReporter(prometheus.Options{})
+	scope, closer := tally.NewRootScope(tally.ScopeOptions{
+		Prefix:         namespace,
+		CachedReporter: r,
+		Separator:      prometheus.DefaultSeparator,
+	}, flushInterval)
+	return &Meter{scope: scope, reporter: r, closer: closer}
+}
+
+// Close stops the meter.
+func (m *Meter) Close() {
+	_ = m.closer.Close()
+}
+
+// Handler serves the metrics as Prometheus text.
+func (m *Meter) Handler() http.Handler {
+	return m.reporter.HTTPHandler()
+}
+
+// Count adds one to a counter.
+func (m *Meter) Count(name string, l Labels) {
+	m.Add(name, l, 1)
+}
+
+// Add adds n to a counter.
+func (m *Meter) Add(name string, l Labels, n int64) {
+	m.counter(name, l).Inc(n)
+}
+
+// Observe adds a length of time to the histogram of a service and class.
+func (m *Meter) Observe(name string, l Labels, d time.Duration) {
+	k := metricKey{name, l}
+	h, ok := m.histograms.Load(k)
+	if !ok {
+		h, _ = m.histograms.LoadOrStore(k, m.tagged(l).Histogram(name, latencyBuckets))
+	}
+	h.(tally.Histogram).RecordDuration(d)
+}
+
+// Gauge sets a gauge.
+func (m *Meter) Gauge(name string, l Labels, v float64) {
+	m.tagged(l).Gauge(name).Update(v)
+}
+
+func (m *Meter) counter(name string, l Labels) tally.Counter {
+	k := metricKey{name, l}
+	c, ok := m.counters.Load(k)
+	if !ok {
+		c, _ = m.counters.LoadOrStore(k, m.tagged(l).Counter(name))
+	}
+	return c.(tally.Counter)
+}
+
+// tagged always sets all labels: one name has one set of them.
+func (m *Meter) tagged(l Labels) tally.Scope {
+	return m.scope.Tagged(map[string]string{
+		"service": orNone(l.Service),
+		"class":   orNone(l.Class),
+		"kind":    orNone(l.Kind),
+	})
+}
+
+func orNone(s string) string {
+	if s == "" {
+		return "none"
+	}
+	return s
+}
--- /dev/null
+++ b/internal/process/operator/api.go
@@ -0,0 +1,164 @@
+package operator
+
+import (
+	"github.com/gullvale/gullvale/internal/version/parser"
+	"github.com/gullvale/gullvale/internal/version/planner"
+	"github.com/gullvale/gullvale/internal/version/resolver"
+	"github.com/gullvale/gullvale/pkg/recorder"
+	"github.com/gullvale/gullvale/pkg/registrar"
+	"github.com/gullvale/gullvale/pkg/timekeeper"
+)
+
+// The paths of the operators' listener.
+const (
+	PathSettings = "/Settings"
+	PathTOML     = "/Settings/TOML"
+	PathLog      = "/Settings/Log"
+	PathChange   = "/Settings/Change"
+	PathInForce  = "/Settings/InForce"
+	PathBlocks   = "/Blocks"
+	PathStatus   = "/Status"
+	PathMetrics  = "/metrics"
+	PathHealth   = "/health"
+)
+
+// The kinds of failure, from which the command line takes its exit code.
+const (
+	FailureInput       Failure = "Input"
+	FailureForbidden   Failure = "Forbidden"
+	FailureConflict    Failure = "Conflict"
+	FailureUnsafe      Failure = "Unsafe"
+	FailureUnknown     Failure = "Unknown"
+	FailureUnreachable Failure = "Unreachable"
+)
+
+type (
+	// Failure is a kind of failure.
+	Failure string
+
+	// ErrorAnswer is the answer to a call that failed.
+	ErrorAnswer struct {
+		Failure  Failure
+		Text     string
+		Problems parser.Problems `json:",omitempty"`
+		// Theirs is the change that was faster.
+		Theirs *recorder.Change `json:",omitempty"`
+	}
+
+	// SettingsAnswer is the settings in force at a path.
+	SettingsAnswer struct {
+		Number recorder.Number
+		Path   string
+		Values []resolver.Source
+		// Beneath is what is set further down.
+		Beneath []resolver.Edit `json:",omitempty"`
+	}
+
+	// TOMLAnswer is the whole tree as text.
+	TOMLAnswer struct {
+		Number recorder.Number
+		Text   string
+	}
+
+	// LogAnswer is a part of the log of changes.
+	LogAnswer struct {
+		Changes []recorder.Change
+	}
+
+	// ChangeRequest asks for a change. One of Edits, TOML and Undo is set.
+	ChangeRequest struct {
+		ID    recorder.ChangeID
+		Why   string
+		Base  recorder.Number
+		Edits []resolver.Edit
+		// TOML replaces the whole tree by the one in the text.
+		TOML   string
+		File   string
+		Undo   recorder.Number
+		DryRun bool
+		Force  bool
+	}
+
+	// ChangeAnswer tells of an accepted change, or of a dry run.
+	ChangeAnswer struct {
+		Number   recorder.Number
+		Edits    []resolver.Edit
+		Warnings parser.Problems `json:",omitempty"`
+		DryRun   bool            `json:",omitempty"`
+	}
+
+	// InForceAnswer tells on how many daemons a change is in force.
+	InForceAnswer struct {
+		Number  recorder.Number
+		InForce int
+		Members int
+	}
+
+	// BlocksAnswer tells of a stored table of client blocks.
+	BlocksAnswer struct {
+		Name   string
+		Blocks int
+	}
+
+	// Status is the fleet as one daemon knows it.
+	Status struct {
+		Daemon   string
+		Site     registrar.Site
+		Settings recorder.Number
+		Plan     planner.Number
+		// InForce is on how many of Members the settings here are in force.
+		InForce int
+		Members int
+		// Platform tells whether the platform answered; without it the rest
+		// is what this daemon last knew.
+		Platform bool
+		Blocks   int
+		Regions  []RegionStatus
+		Drained  []string       `json:",omitempty"`
+		Shifts   []ShiftStatus  `json:",omitempty"`
+		Holds    []planner.Hold `json:",omitempty"`
+		Control  ControlStatus
+	}
+
+	// RegionStatus is one region.
+	RegionStatus struct {
+		Region   string
+		Members  int
+		Leaving  int
+		Fence    uint64
+		Services []ServiceStatus
+	}
+
+	// ServiceStatus is the use of a service's slots in a region.
+	ServiceStatus struct {
+		Service resolver.ServiceName
+		Slots   uint32
+		Busy    uint32
+		Peak    uint32
+		Waiting uint32
+		// Limit is how many slots the plan may fill.
+		Limit float64
+	}
+
+	// ShiftStatus is how far a shift has come.
+	ShiftStatus struct {
+		Service resolver.ServiceName
+		From    string
+		To      string
+		// Want and Have are the share of the traffic of From that runs in To.
+		Want float64
+		Have float64
+	}
+
+	// ControlStatus is what this daemon spent on control since it started.
+	ControlStatus struct {
+		UpMillis        timekeeper.Millis
+		LinkBytesIn     uint64
+		LinkBytesOut    uint64
+		LinkFrames      uint64
+		PlatformReads   uint64
+		PlatformWrites  uint64
+		PlatformWatches uint64
+		PlatformBytes   uint64
+	}
+)
--- /dev/null
+++ b/internal/process/operator/doc.go
@@ -0,0 +1,3 @@
+// Package operator serves the operators' listener: settings, their log, changes
+// and undo, status, metrics and health.
+package operator
--- /dev/null
+++ b/internal/process/operator/server.go
@@ -0,0 +1,319 @@
+package operator
+
+import (
+	"context"
+	"crypto/rand"
+	"crypto/sha256"
+	"crypto/subtle"
+	"encoding/hex"
+	"encoding/json"
+	"errors"
+	"io"
+	"net"
+	"net/http"
+	"slices"
+	"strconv"
+	"strings"
+
+	"github.com/zeromicro/go-zero/rest"
+
+	"github.com/gullvale/gullvale/internal/connection/router"
+	"github.com/gullvale/gullvale/internal/process/changer"
+	"github.com/gullvale/gullvale/internal/process/configurer"
+	"github.com/gullvale/gullvale/internal/version/applier"
+	"github.com/gullvale/gullvale/internal/version/locator"
+	"github.com/gullvale/gullvale/internal/version/parser"
+	"github.com/gullvale/gullvale/internal/version/resolver"
+	"github.com/gullvale/gullvale/pkg/recorder"
+	"github.com/gullvale/gullvale/pkg/storer"
+)
+
+const (
+	maxRequestBytes = 64 << 20
+	idBytes         = 9
+)
+
+type (
+	// Server serves operators. Set the exported fields before use.
+	Server struct {
+		Tokens  []configurer.Token
+		Store   *storer.Client
+		Log     *recorder.Log
+		Applier *applier.Applier
+		Changer *changer.Changer
+		// Status describes the fleet.
+		Status func(context.Context) Status
+		// InForce tells on how many daemons a number is in force.
+		InForce func(context.Context, recorder.Number) (InForceAnswer, error)
+		// Healthy tells whether the daemon takes new work, and if not, why.
+		Healthy func() (bool, string)
+		Metrics http.Handler
+	}
+
+	// who is the operator of a call.
+	who struct {
+		name string
+		role configurer.Role
+		from string
+	}
+
+	handler func(context.Context, who, *http.Request) (any, error)
+
+	// inputError is a call that cannot be understood.
+	inputError struct{ text string }
+)
+
+func (e inputError) Error() string { return e.text }
+
+// Handler returns the routes.
+func (s *Server) Handler() (http.Handler, error) {
+	view := configurer.RoleView
+	steer := configurer.RoleSteer
+	return router.New(router.Options{
+		Name: "operators",
+		Routes: []rest.Route{
+			s.route(http.MethodGet, PathSettings, view, s.settings),
+			s.route(http.MethodGet, PathTOML, view, s.toml),
+			s.route(http.MethodGet, PathLog, view, s.log),
+			s.route(http.MethodGet, PathInForce, view, s.inForce),
+			s.route(http.MethodGet, PathStatus, view, s.status),
+			s.route(http.MethodPost, PathChange, steer, s.change),
+			s.route(http.MethodPost, PathBlocks, configurer.RoleAdminister, s.blocks),
+			{Method: http.MethodGet, Path: PathMetrics, Handler: s.Metrics.ServeHTTP},
+			{Method: http.MethodGet, Path: PathHealth, Handler: s.health},
+		},
+	})
+}
+
+func (s *Server) route(method, path string, least configurer.Role, h handler) rest.Route {
+	return rest.Route{Method: method, Path: path, Handler: func(w http.ResponseWriter, r *http.Request) {
+		o := s.identify(r)
+		if o.role < least {
+			write(w, http.StatusForbidden, ErrorAnswer{Failure: FailureForbidden, Text: s.denial(o, least)})
+			return
+		}
+		r.Body = http.MaxBytesReader(w, r.Body, maxRequestBytes)
+		answer, err := h(r.Context(), o, r)
+		if err != nil {
+			status, e := explain(err)
+			write(w, status, e)
+			return
+		}
+		write(w, http.StatusOK, answer)
+	}}
+}
+
+// identify finds the operator by the hash of the token. Every token is
+// compared, so the time taken tells nothing.
+func (s *Server) identify(r *http.Request) who {
+	out := who{}
+	out.from, _, _ = net.SplitHostPort(r.RemoteAddr)
+	token, ok := strings.CutPrefix(r.Header.Get("Authorization"), "Bearer ")
+	if !ok {
+		return out
+	}
+	hash := sha256.Sum256([]byte(token))
+	for _, t := range s.Tokens {
+		if subtle.ConstantTimeCompare(hash[:], t.Hash[:]) == 1 {
+			out.name = t.Who
+			out.role = t.Role
+		}
+	}
+	return out
+}
+
+func (s *Server) denial(o who, least configurer.Role) string {
+	switch {
+	case len(s.Tokens) == 0:
+		return "this daemon has no tokens in its settings"
+	case o.role == configurer.RoleNone:
+		return "the token is missing or unknown"
+	case least == configurer.RoleAdminister:
+		return o.name + " may not do this; it takes the role administer"
+	}
+	return o.name + " may not do this; it takes the role steer"
+}
+
+func (s *Server) settings(_ context.Context, _ who, r *http.Request) (any, error) {
+	p, err := resolver.ParsePath(r.URL.Query().Get("Path"))
+	if err != nil {
+		return nil, inputError{err.Error()}
+	}
+	t, n := s.Applier.State()
+	beneath := t.Beneath(p)
+	beneath = slices.DeleteFunc(beneath, func(e resolver.Edit) bool { return e.Path == p.String() })
+	return SettingsAnswer{Number: n, Path: p.String(), Values: t.Explain(p), Beneath: beneath}, nil
+}
+
+func (s *Server) toml(context.Context, who, *http.Request) (any, error) {
+	t, n := s.Applier.State()
+	return TOMLAnswer{Number: n, Text: t.TOML()}, nil
+}
+
+func (s *Server) log(ctx context.Context, _ who, r *http.Request) (any, error) {
+	after, err := number(r, "After")
+	if err != nil {
+		return nil, err
+	}
+	changes, err := s.Log.Read(ctx, after)
+	if err != nil {
+		// In an outage of the platform, what is kept here must do.
+		changes = s.Applier.History(after)
+	}
+	return LogAnswer{Changes: changes}, nil
+}
+
+func (s *Server) inForce(ctx context.Context, _ who, r *http.Request) (any, error) {
+	n, err := number(r, "Number")
+	if err != nil {
+		return nil, err
+	}
+	return s.InForce(ctx, n)
+}
+
+func (s *Server) status(ctx context.Context, _ who, _ *http.Request) (any, error) {
+	return s.Status(ctx), nil
+}
+
+func (s *Server) change(ctx context.Context, o who, r *http.Request) (any, error) {
+	var q ChangeRequest
+	if err := json.NewDecoder(r.Body).Decode(&q); err != nil {
+		return nil, inputError{"body: " + err.Error()}
+	}
+	edits, err := s.edits(q)
+	if err != nil {
+		return nil, err
+	}
+	if q.ID == "" {
+		q.ID = NewChangeID()
+	}
+	result, err := s.Changer.Change(ctx, changer.Request{
+		ID:     q.ID,
+		Who:    o.name,
+		From:   o.from,
+		Why:    q.Why,
+		Base:   q.Base,
+		Edits:  edits,
+		Undo:   q.Undo,
+		DryRun: q.DryRun,
+		Force:  q.Force,
+	})
+	if err != nil {
+		return nil, err
+	}
+	return ChangeAnswer{
+		Number:   result.Change.Number,
+		Edits:    result.Edits,
+		Warnings: result.Warnings,
+		DryRun:   result.DryRun,
+	}, nil
+}
+
+// edits returns what is to be edited. A whole tree becomes its difference to
+// the one in force.
+func (s *Server) edits(q ChangeRequest) ([]resolver.Edit, error) {
+	if q.TOML == "" {
+		return q.Edits, nil
+	}
+	edits, problems := resolver.ReadTOML(q.File, []byte(q.TOML))
+	next, more := resolver.Tree{}.Apply(edits)
+	if problems = append(problems, more...); len(problems) > 0 {
+		return nil, problems
+	}
+	now, _ := s.Applier.State()
+	return now.Difference(next), nil
+}
+
+// blocks stores a table of client blocks under a new name.
+func (s *Server) blocks(ctx context.Context, _ who, r *http.Request) (any, error) {
+	name := r.URL.Query().Get("Name")
+	if name == "" || strings.ContainsAny(name, "/ ") {
+		return nil, inputError{"Name is missing or has a blank or slash in it"}
+	}
+	text, err := io.ReadAll(r.Body)
+	if err != nil {
+		return nil, inputError{"body: " + err.Error()}
+	}
+	table, err := locator.Read(strings.NewReader(string(text)))
+	if err != nil {
+		return nil, inputError{err.Error()}
+	}
+	if table.Len() == 0 {
+		return nil, inputError{"the table has no blocks"}
+	}
+	if _, err := locator.Save(ctx, s.Store, name, strings.NewReader(string(text))); err != nil {
+		return nil, err
+	}
+	return BlocksAnswer{Name: name, Blocks: table.Len()}, nil
+}
+
+func (s *Server) health(w http.ResponseWriter, _ *http.Request) {
+	ok, why := s.Healthy()
+	if !ok {
+		http.Error(w, why, http.StatusServiceUnavailable)
+		return
+	}
+	_, _ = io.WriteString(w, "ok\n")
+}
+
+func number(r *http.Request, name string) (recorder.Number, error) {
+	text := r.URL.Query().Get(name)
+	if text == "" {
+		return 0, nil
+	}
+	n, err := strconv.ParseUint(text, 10, 64)
+	if err != nil {
+		return 0, inputError{name + ": " + strconv.Quote(text) + " is not a number"}
+	}
+	return recorder.Number(n), nil
+}
+
+// explain turns an error into an answer.
+func explain(err error) (int, ErrorAnswer) {
+	var problems parser.Problems
+	var unsafe *changer.GuardError
+	var conflict *recorder.ConflictError
+	var input inputError
+	e := ErrorAnswer{Text: err.Error()}
+	switch {
+	case errors.As(err, &conflict):
+		e.Failure = FailureConflict
+		e.Theirs = &conflict.Theirs
+		return http.StatusConflict, e
+	case errors.As(err, &unsafe):
+		e.Failure = FailureUnsafe
+		e.Problems = unsafe.Problems
+		return http.StatusUnprocessableEntity, e
+	case errors.As(err, &problems):
+		e.Failure = FailureInput
+		e.Problems = problems
+		return http.StatusBadRequest, e
+	case errors.As(err, &input), errors.Is(err, changer.ErrNothing), errors.Is(err, storer.ErrConflict):
+		e.Failure = FailureInput
+		return http.StatusBadRequest, e
+	case errors.Is(err, storer.ErrUnknown):
+		e.Failure = FailureUnknown
+		return http.StatusGatewayTimeout, e
+	}
+	e.Failure = FailureUnreachable
+	return http.StatusServiceUnavailable, e
+}
+
+func write(w http.ResponseWriter, status int, v any) {
+	w.Header().Set("Content-Type", "application/json")
+	w.WriteHeader(status)
+	_ = json.NewEncoder(w).Encode(v)
+}
+
+// NewChangeID returns an id that no other change has.
+func NewChangeID() recorder.ChangeID {
+	b := make([]byte, idBytes)
+	_, _ = rand.Read(b)
+	return recorder.ChangeID(hex.EncodeToString(b))
+}
+
+// HashToken returns the hash of a token as settings files hold it.
+func HashToken(token string) string {
+	h := sha256.Sum256([]byte(token))
+	return hex.EncodeToString(h[:])
+}
--- /dev/null
+++ b/internal/process/runner/control.go
@@ -0,0 +1,188 @@
+package runner
+
+import (
+	"context"
+	"log"
+	"sync"
+	"time"
+
+	"github.com/sirupsen/logrus"
+
+	"github.com/gullvale/gullvale/internal/connection/framer"
+	"github.com/gullvale/gullvale/internal/connection/guarder"
+	"github.com/gullvale/gullvale/internal/connection/linker"
+	"github.com/gullvale/gullvale/internal/connection/pooler"
+	"github.com/gullvale/gullvale/internal/process/leader"
+	"github.com/gullvale/gullvale/internal/process/measurer"
+	"github.com/gullvale/gullvale/pkg/storer"
+)
+
+// announceEvery is the least time between two announcements of free slots.
+const announceEvery = 5 * time.Millisecond
+
+// control handles the frames of control streams.
+func (d *Daemon) control(s *linker.Session, f framer.Frame) {
+	if err := d.controlFrame(s, f); err != nil {
+		d.log.WithError(err).WithField("peer", s.Remote().Name).Warn("link ended: bad frame")
+		s.Close()
+	}
+}
+
+func (d *Daemon) controlFrame(s *linker.Session, f framer.Frame) error {
+	switch f.Kind {
+	case framer.KindHeartbeat:
+		var m framer.Heartbeat
+		if err := f.Decode(&m); err != nil {
+			return err
+		}
+		return s.Send(framer.KindAck, d.leader.Hear(s.Remote(), s, &m))
+	case framer.KindAck:
+		var m framer.Ack
+		if err := f.Decode(&m); err != nil {
+			return err
+		}
+		d.joiner.Acked(&m)
+	case framer.KindObjects:
+		b, err := leader.ReadObjects(f)
+		if err != nil {
+			return err
+		}
+		d.replica.Put(b)
+	case framer.KindFetch:
+		var m framer.Fetch
+		if err := f.Decode(&m); err != nil {
+			return err
+		}
+		return leader.SendObjects(s, d.replica.Since(storer.Revision(m.Revision)))
+	case framer.KindClaim:
+		var m framer.Claim
+		if err := f.Decode(&m); err != nil {
+			return err
+		}
+		return s.Send(framer.KindReleased, d.claimer.Asked(&m))
+	case framer.KindReleased:
+		var m framer.Released
+		if err := f.Decode(&m); err != nil {
+			return err
+		}
+		d.claimer.Answered(&m)
+	}
+	// Frames of kinds unknown here come from a later version and are left out.
+	return nil
+}
+
+// beat fills in a heartbeat.
+func (d *Daemon) beat(h *framer.Heartbeat) {
+	if s := d.snapshot.Load(); s != nil {
+		h.Settings = uint64(s.Number)
+		h.Plan = uint64(s.Plan.Number)
+	}
+	h.Revision = uint64(d.replica.Revision())
+	h.Leaving = d.leaving.Load()
+	h.InFlight = uint32(d.forwarder.InFlight())
+	for k, p := range d.owner.Pools() {
+		l, work := p.TakeLoad()
+		if l.Slots > 0 || l.Busy > 0 {
+			h.Loads = append(h.Loads, &framer.Load{
+				Service: string(k.Service),
+				Site:    string(k.Site),
+				Slots:   uint32(l.Slots),
+				Busy:    uint32(l.Busy),
+				Waiting: uint32(l.Waiting),
+				Peak:    uint32(l.Peak),
+			})
+		}
+		for origin, w := range work {
+			h.Works = append(h.Works, &framer.Work{
+				Service:    string(k.Service),
+				Origin:     string(origin),
+				SlotMillis: w.SlotMillis,
+				Requests:   w.Requests,
+			})
+		}
+	}
+}
+
+func (d *Daemon) selfBeat(h *framer.Heartbeat) *framer.Ack {
+	return d.leader.Hear(d.Self(), nil, h)
+}
+
+// welcome tells a new link what is free here.
+func (d *Daemon) welcome(s *linker.Session) {
+	for k := range d.owner.Pools() {
+		free, slots := d.owner.Free(k)
+		d.links.Tell(s, k, free, slots)
+	}
+}
+
+func (d *Daemon) headRefused(k guarder.Kind) {
+	d.meter.Count("heads_refused", measurer.Labels{Kind: string(k)})
+}
+
+func (d *Daemon) probed(k pooler.Key, _ string, ok bool) {
+	kind := "ok"
+	if !ok {
+		kind = "failed"
+	}
+	d.meter.Count("probes", measurer.Labels{Service: string(k.Service), Kind: kind})
+}
+
+// announcer tells free slots to other daemons, many changes at a time.
+type announcer struct {
+	lock  sync.Mutex
+	dirty map[pooler.Key]struct{}
+	wake  chan struct{}
+}
+
+// mark notes that the free slots of a pool changed.
+func (a *announcer) mark(k pooler.Key) {
+	a.lock.Lock()
+	defer a.lock.Unlock()
+	if a.dirty == nil {
+		a.dirty = map[pooler.Key]struct{}{}
+	}
+	a.dirty[k] = struct{}{}
+	select {
+	case a.channel() <- struct{}{}:
+	default:
+	}
+}
+
+func (a *announcer) channel() chan struct{} {
+	if a.wake == nil {
+		a.wake = make(chan struct{}, 1)
+	}
+	return a.wake
+}
+
+func (a *announcer) take() map[pooler.Key]struct{} {
+	a.lock.Lock()
+	defer a.lock.Unlock()
+	out := a.dirty
+	a.dirty = nil
+	return out
+}
+
+func (a *announcer) loop(ctx context.Context, o *pooler.Owner, m *linker.Manager) {
+	a.lock.Lock()
+	wake := a.channel()
+	a.lock.Unlock()
+	for {
+		select {
+		case <-ctx.Done():
+			return
+		case <-wake:
+		}
+		for k := range a.take() {
+			free, slots := o.Free(k)
+			m.Announce(k, free, slots)
+		}
+		time.Sleep(announceEvery)
+	}
+}
+
+// quietLog keeps what the HTTP server says about single connections at debug
+// level: such things are counted.
+func quietLog(l *logrus.Entry) *log.Logger {
+	return log.New(l.WriterLevel(logrus.DebugLevel), "", 0)
+}
--- /dev/null
+++ b/internal/process/runner/daemon.go
@@ -0,0 +1,374 @@
+package runner
+
+import (
+	"context"
+	"crypto/rand"
+	"encoding/hex"
+	"net"
+	"net/http"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"github.com/rotisserie/eris"
+	"github.com/sirupsen/logrus"
+	"github.com/zeromicro/go-zero/core/proc"
+	"github.com/zeromicro/go-zero/rest"
+
+	"github.com/gullvale/gullvale/internal/connection/guarder"
+	"github.com/gullvale/gullvale/internal/connection/linker"
+	"github.com/gullvale/gullvale/internal/connection/pooler"
+	"github.com/gullvale/gullvale/internal/connection/router"
+	"github.com/gullvale/gullvale/internal/process/changer"
+	"github.com/gullvale/gullvale/internal/process/claimer"
+	"github.com/gullvale/gullvale/internal/process/configurer"
+	"github.com/gullvale/gullvale/internal/process/joiner"
+	"github.com/gullvale/gullvale/internal/process/leader"
+	"github.com/gullvale/gullvale/internal/process/measurer"
+	"github.com/gullvale/gullvale/internal/process/operator"
+	"github.com/gullvale/gullvale/internal/request/forwarder"
+	"github.com/gullvale/gullvale/internal/request/looker"
+	"github.com/gullvale/gullvale/internal/version/applier"
+	"github.com/gullvale/gullvale/internal/version/replicator"
+	"github.com/gullvale/gullvale/internal/version/resolver"
+	"github.com/gullvale/gullvale/internal/version/steerer"
+	"github.com/gullvale/gullvale/pkg/leaser"
+	"github.com/gullvale/gullvale/pkg/recorder"
+	"github.com/gullvale/gullvale/pkg/registrar"
+	"github.com/gullvale/gullvale/pkg/storer"
+	"github.com/gullvale/gullvale/pkg/timekeeper"
+)
+
+const (
+	incarnationBytes = 8
+
+	settingsPrefix = "Settings/"
+	leadPrefix     = "Lease/Lead/"
+
+	// headTimeout bounds how long a caller may take to send a head.
+	headTimeout = 10 * time.Second
+
+	// idleTimeout ends connections that callers no longer use.
+	idleTimeout = 2 * time.Minute
+
+	// forever keeps go-zero from killing the process while a planned stop
+	// waits for requests in flight.
+	forever = 100 * 365 * 24 * time.Hour
+)
+
+type (
+	// Options is what a daemon is made of besides its settings file.
+	Options struct {
+		Config configurer.Config
+		Log    *logrus.Logger
+		Clock  timekeeper.Clock
+		// Dial connects to other daemons. Nil means TCP.
+		Dial func(ctx context.Context, address string) (net.Conn, error)
+		// WrapCallers may wrap the listener for callers. Nil leaves it.
+		WrapCallers func(net.Listener) net.Listener
+	}
+
+	// Daemon is one entry daemon. Build it with New, then call Start.
+	Daemon struct {
+		config  configurer.Config
+		clock   timekeeper.Clock
+		log     *logrus.Entry
+		options Options
+		started timekeeper.Millis
+
+		base   context.Context
+		cancel context.CancelFunc
+
+		callers   net.Listener
+		linked    net.Listener
+		operators net.Listener
+		servers   []*http.Server
+
+		self     registrar.Member
+		leaving  atomic.Bool
+		snapshot atomic.Pointer[steerer.Snapshot]
+		rebuild  chan struct{}
+		versions versions
+
+		meter     *measurer.Meter
+		store     *storer.Client
+		records   *recorder.Log
+		applier   *applier.Applier
+		replica   *replicator.Replica
+		owner     *pooler.Owner
+		links     *linker.Manager
+		claimer   *claimer.Claimer
+		joiner    *joiner.Joiner
+		leader    *leader.Leader
+		forwarder *forwarder.Forwarder
+		changer   *changer.Changer
+		announcer announcer
+
+		stopped sync.Once
+	}
+)
+
+// New binds the listeners and puts the parts together. Nothing runs yet; on an
+// error nothing stays bound.
+func New(o Options) (*Daemon, error) {
+	proc.SetTimeToForceQuit(forever)
+	d := &Daemon{
+		config:  o.Config,
+		clock:   o.Clock,
+		log:     o.Log.WithField("daemon", o.Config.Name),
+		options: o,
+		rebuild: make(chan struct{}, 1),
+	}
+	d.base, d.cancel = context.WithCancel(context.Background())
+	if err := d.listen(); err != nil {
+		d.closeListeners()
+		d.cancel()
+		return nil, err
+	}
+	d.self = registrar.Member{
+		Incarnation: newIncarnation(),
+		Name:        o.Config.Name,
+		Site:        o.Config.Site(),
+		Callers:     d.callers.Addr().String(),
+		Links:       d.linked.Addr().String(),
+		Operators:   d.operators.Addr().String(),
+	}
+	d.assemble()
+	return d, nil
+}
+
+func newIncarnation() registrar.Incarnation {
+	b := make([]byte, incarnationBytes)
+	_, _ = rand.Read(b)
+	return registrar.Incarnation(hex.EncodeToString(b))
+}
+
+func (d *Daemon) listen() error {
+	for _, l := range []struct {
+		to      *net.Listener
+		name    string
+		address string
+	}{
+		{&d.callers, "Callers", d.config.Callers},
+		{&d.linked, "Links", d.config.Links},
+		{&d.operators, "Operators", d.config.Operators},
+	} {
+		var err error
+		if *l.to, err = net.Listen("tcp", l.address); err != nil {
+			return eris.Wrapf(err, "%s = %q", l.name, l.address)
+		}
+	}
+	return nil
+}
+
+func (d *Daemon) closeListeners() {
+	for _, l := range []net.Listener{d.callers, d.linked, d.operators} {
+		if l != nil {
+			l.Close()
+		}
+	}
+}
+
+// assemble makes the parts and connects them.
+func (d *Daemon) assemble() {
+	d.meter = measurer.New()
+	d.store = &storer.Client{Address: d.config.PlatformAddress, Token: d.config.PlatformToken}
+	d.records = &recorder.Log{Store: d.store, Prefix: settingsPrefix}
+	d.applier = &applier.Applier{}
+	d.replica = &replicator.Replica{Changed: d.objectsChanged}
+	d.owner = &pooler.Owner{Clock: d.clock, Changed: d.announcer.mark, Probed: d.probed}
+	d.links = &linker.Manager{
+		Clock:    d.clock,
+		Self:     d.Self,
+		Dial:     d.options.Dial,
+		Control:  d.control,
+		Closed:   func(s *linker.Session) { d.leader.Gone(d.base, s) },
+		Accepted: d.welcome,
+	}
+	lease := &leaser.Lease{
+		Store:   d.store,
+		Name:    leadPrefix + d.config.Region,
+		Holder:  string(d.self.Incarnation),
+		Address: d.self.Links,
+		Clock:   d.clock,
+	}
+	d.claimer = &claimer.Claimer{Self: d.Self, Owner: d.owner, Links: d.links}
+	d.leader = &leader.Leader{
+		Clock:    d.clock,
+		Log:      d.log,
+		Region:   d.config.Region,
+		Store:    d.store,
+		Lease:    lease,
+		Links:    d.links,
+		Replica:  d.replica,
+		Settings: d.settings,
+	}
+	d.joiner = &joiner.Joiner{
+		Clock:    d.clock,
+		Self:     d.Self,
+		Lease:    lease,
+		Links:    d.links,
+		Beat:     d.beat,
+		Lead:     func(f leaser.Fence, held bool) { d.leader.Lead(d.base, f, held) },
+		SelfBeat: d.selfBeat,
+		Shun:     d.shunsLead,
+	}
+	d.owner.Valid = d.joiner.Valid
+	d.forwarder = &forwarder.Forwarder{
+		Base:     d.base,
+		Clock:    d.clock,
+		Self:     d.Self,
+		Snapshot: d.snapshot.Load,
+		Owner:    d.owner,
+		Links:    d.links,
+		Meter:    d.meter,
+		Leaving:  d.leaving.Load,
+	}
+	d.links.Serve = d.forwarder.RunLinked
+	d.changer = &changer.Changer{
+		Clock:    d.clock,
+		Log:      d.records,
+		Applier:  d.applier,
+		Guard:    d.guard,
+		Advanced: d.trigger,
+	}
+}
+
+// Self describes this daemon as it is now.
+func (d *Daemon) Self() registrar.Member {
+	m := d.self
+	m.Leaving = d.leaving.Load()
+	return m
+}
+
+// Start runs the daemon. It takes no work before it has settings.
+func (d *Daemon) Start() error {
+	d.started = d.clock.Now()
+	if err := d.serve(); err != nil {
+		d.cancel()
+		d.closeListeners()
+		return err
+	}
+	d.log.WithFields(logrus.Fields{
+		"incarnation": d.self.Incarnation,
+		"site":        d.self.Site,
+		"callers":     d.self.Callers,
+		"links":       d.self.Links,
+		"operators":   d.self.Operators,
+	}).Info("started")
+	d.leader.Start()
+	go d.links.Accept(d.base, d.linked)
+	go d.run()
+	return nil
+}
+
+// run brings the daemon up: settings first, then membership, then work.
+func (d *Daemon) run() {
+	if !d.syncFirst(d.base) {
+		return
+	}
+	go d.loopRebuild(d.base)
+	d.trigger()
+	d.joiner.Start(d.base)
+	go d.claimer.Run(d.base)
+	go d.owner.RunUpkeep(d.base)
+	go d.announcer.loop(d.base, d.owner, d.links)
+	go d.loopPoll(d.base)
+	go d.loopBlocks(d.base)
+	go d.loopTidy(d.base)
+}
+
+func (d *Daemon) serve() error {
+	callers, err := d.callersHandler()
+	if err != nil {
+		return err
+	}
+	operators, err := d.operatorsHandler()
+	if err != nil {
+		return err
+	}
+	var l net.Listener = guarder.Listener{Listener: d.callers, Refused: d.headRefused}
+	if d.options.WrapCallers != nil {
+		l = d.options.WrapCallers(l)
+	}
+	for _, s := range []struct {
+		listener net.Listener
+		handler  http.Handler
+	}{{l, callers}, {d.operators, operators}} {
+		server := &http.Server{
+			Handler:           s.handler,
+			ReadHeaderTimeout: headTimeout,
+			IdleTimeout:       idleTimeout,
+			MaxHeaderBytes:    guarder.MaxHeadBytes,
+			ConnContext:       guarder.ConnContext,
+			ConnState:         guarder.ConnState,
+			ErrorLog:          quietLog(d.log),
+		}
+		d.servers = append(d.servers, server)
+		go d.runServer(server, s.listener)
+	}
+	return nil
+}
+
+func (d *Daemon) runServer(s *http.Server, l net.Listener) {
+	if err := s.Serve(l); err != nil && err != http.ErrServerClosed {
+		d.log.WithError(err).Error("listener failed")
+	}
+}
+
+// callersHandler serves look-ups and forwards everything else.
+func (d *Daemon) callersHandler() (http.Handler, error) {
+	lookups := &looker.Looker{Snapshot: d.snapshot.Load, Meter: d.meter}
+	return router.New(router.Options{
+		Name: "callers",
+		Routes: []rest.Route{
+			{Method: http.MethodGet, Path: looker.Path, Handler: lookups.ServeHTTP},
+			{Method: http.MethodGet, Path: operator.PathHealth, Handler: d.serveHealth},
+		},
+		Fallback: d.forwarder,
+		Direct:   d.forwarder.Names,
+	})
+}
+
+func (d *Daemon) operatorsHandler() (http.Handler, error) {
+	s := &operator.Server{
+		Tokens:  d.config.Tokens,
+		Store:   d.store,
+		Log:     d.records,
+		Applier: d.applier,
+		Changer: d.changer,
+		Status:  d.Status,
+		InForce: d.inForce,
+		Healthy: d.healthy,
+		Metrics: d.meter.Handler(),
+	}
+	return s.Handler()
+}
+
+func (d *Daemon) settings() (*resolver.Resolved, recorder.Number) {
+	s := d.snapshot.Load()
+	if s == nil {
+		return nil, 0
+	}
+	return s.Settings, s.Number
+}
+
+// healthy tells whether the daemon takes new work.
+func (d *Daemon) healthy() (bool, string) {
+	switch {
+	case d.leaving.Load():
+		return false, "leaving"
+	case d.snapshot.Load() == nil:
+		return false, "starting: no settings yet"
+	}
+	return true, ""
+}
+
+func (d *Daemon) serveHealth(w http.ResponseWriter, _ *http.Request) {
+	ok, why := d.healthy()
+	if !ok {
+		http.Error(w, why, http.StatusServiceUnavailable)
+		return
+	}
+	w.WriteHeader(http.StatusOK)
+}
--- /dev/null
+++ b/internal/process/runner/status.go
@@ -0,0 +1,183 @@
+package runner
+
+import (
+	"context"
+	"fmt"
+	"slices"
+
+	"github.com/gullvale/gullvale/internal/process/leader"
+	"github.com/gullvale/gullvale/internal/process/operator"
+	"github.com/gullvale/gullvale/internal/version/parser"
+	"github.com/gullvale/gullvale/internal/version/planner"
+	"github.com/gullvale/gullvale/internal/version/resolver"
+	"github.com/gullvale/gullvale/internal/version/steerer"
+	"github.com/gullvale/gullvale/pkg/recorder"
+	"github.com/gullvale/gullvale/pkg/registrar"
+)
+
+const mostSummaries = 100
+
+// summaries reads what the leads told last.
+func (d *Daemon) summaries(ctx context.Context) ([]leader.Summary, error) {
+	b, err := d.store.List(ctx, leader.SummaryPrefix, "", mostSummaries)
+	if err != nil {
+		return nil, err
+	}
+	var out []leader.Summary
+	for _, o := range b.Objects {
+		if s, err := leader.DecodeSummary(o.Body); err == nil {
+			out = append(out, s)
+		}
+	}
+	return out, nil
+}
+
+// members counts the members on all rosters.
+func (d *Daemon) members() int {
+	s := d.snapshot.Load()
+	if s == nil {
+		return 0
+	}
+	return len(s.View.Members())
+}
+
+func (d *Daemon) inForce(ctx context.Context, n recorder.Number) (operator.InForceAnswer, error) {
+	a := operator.InForceAnswer{Number: n, Members: d.members()}
+	all, err := d.summaries(ctx)
+	if err != nil {
+		return a, err
+	}
+	a.InForce = countInForce(all, n)
+	return a, nil
+}
+
+func countInForce(all []leader.Summary, n recorder.Number) int {
+	count := 0
+	for _, s := range all {
+		for _, m := range s.Members {
+			if m.Settings >= n {
+				count++
+			}
+		}
+	}
+	return count
+}
+
+// Status describes the fleet as this daemon knows it.
+func (d *Daemon) Status(ctx context.Context) operator.Status {
+	st := operator.Status{Daemon: d.self.Name, Site: d.self.Site, Members: d.members(), Control: d.controlStatus()}
+	s := d.snapshot.Load()
+	if s == nil {
+		return st
+	}
+	st.Settings = s.Number
+	st.Plan = s.Plan.Number
+	st.Holds = s.Plan.Holds
+	st.Blocks = s.Table.Len()
+	tree, _ := d.applier.State()
+	st.Drained = drainedPaths(tree)
+	for _, x := range s.Settings.Shifts {
+		st.Shifts = append(st.Shifts, shiftStatus(s, x))
+	}
+	all, err := d.summaries(ctx)
+	st.Platform = err == nil
+	st.InForce = countInForce(all, s.Number)
+	for _, x := range all {
+		st.Regions = append(st.Regions, regionStatus(s.Settings, x))
+	}
+	return st
+}
+
+func drainedPaths(t resolver.Tree) []string {
+	var out []string
+	for _, p := range t.Paths() {
+		if v, ok := t.Get(p, resolver.KeyDrain); ok && v == "true" {
+			out = append(out, p.String())
+		}
+	}
+	return out
+}
+
+// shiftStatus tells how much of what the region's own callers ask for runs in
+// the other region.
+func shiftStatus(s *steerer.Snapshot, x resolver.Shift) operator.ShiftStatus {
+	var have float64
+	n := 0
+	for _, origin := range s.Settings.Sites {
+		if origin.Region() != x.From {
+			continue
+		}
+		d, ok := s.Plan.Route(x.Service, origin)
+		if !ok {
+			continue
+		}
+		n++
+		for _, p := range d {
+			if registrar.Site(p.Site).Region() == x.To {
+				have += p.Share.Fraction()
+			}
+		}
+	}
+	return operator.ShiftStatus{Service: x.Service, From: x.From, To: x.To, Want: x.Share, Have: have / float64(max(n, 1))}
+}
+
+func regionStatus(settings *resolver.Resolved, x leader.Summary) operator.RegionStatus {
+	r := operator.RegionStatus{Region: x.Region, Members: len(x.Members), Fence: uint64(x.Fence)}
+	for _, m := range x.Members {
+		if m.Leaving {
+			r.Leaving++
+		}
+	}
+	for _, l := range x.Sites {
+		i := slices.IndexFunc(r.Services, func(s operator.ServiceStatus) bool { return s.Service == l.Service })
+		if i < 0 {
+			i = len(r.Services)
+			r.Services = append(r.Services, operator.ServiceStatus{Service: l.Service})
+		}
+		s := &r.Services[i]
+		s.Slots += l.Slots
+		s.Busy += l.Busy
+		s.Peak += l.Peak
+		s.Waiting += l.Waiting
+		if set := settings.At(l.Site, l.Service); set != nil {
+			s.Limit += float64(l.Slots) * set.Limit
+		}
+	}
+	return r
+}
+
+func (d *Daemon) controlStatus() operator.ControlStatus {
+	l := d.links.Counters()
+	p := d.store.Calls()
+	return operator.ControlStatus{
+		UpMillis:        d.clock.Now() - d.started,
+		LinkBytesIn:     l.ControlIn.Load(),
+		LinkBytesOut:    l.ControlOut.Load(),
+		LinkFrames:      l.Frames.Load(),
+		PlatformReads:   p.Reads.Load(),
+		PlatformWrites:  p.Writes.Load(),
+		PlatformWatches: p.Watches.Load(),
+		PlatformBytes:   p.Bytes.Load(),
+	}
+}
+
+// guard finds what a tree would overload, by the load that the leads told. In
+// an outage of the platform no change can be recorded anyway.
+func (d *Daemon) guard(t resolver.Tree) parser.Problems {
+	ctx, cancel := context.WithTimeout(d.base, peerTimeout)
+	defer cancel()
+	all, err := d.summaries(ctx)
+	if err != nil {
+		return parser.Problems{{Text: fmt.Sprintf("the load is not known: %v", err)}}
+	}
+	load := planner.Load{Work: map[resolver.ServiceName]map[registrar.Site]float64{}}
+	for _, s := range all {
+		for _, w := range s.Work {
+			if load.Work[w.Service] == nil {
+				load.Work[w.Service] = map[registrar.Site]float64{}
+			}
+			load.Work[w.Service][w.Origin] += w.Slots
+		}
+	}
+	return planner.Check(t.Resolve(), load, d.clock.WallNow())
+}
--- /dev/null
+++ b/internal/request/forwarder/route.go
@@ -0,0 +1,188 @@
+package forwarder
+
+import (
+	"context"
+	"math/rand/v2"
+
+	"github.com/gullvale/gullvale/internal/connection/linker"
+	"github.com/gullvale/gullvale/internal/connection/pooler"
+	"github.com/gullvale/gullvale/internal/request/exchanger"
+	"github.com/gullvale/gullvale/internal/version/resolver"
+	"github.com/gullvale/gullvale/internal/version/steerer"
+	"github.com/gullvale/gullvale/pkg/registrar"
+	"github.com/gullvale/gullvale/pkg/timekeeper"
+)
+
+const (
+	maxTries = 4
+
+	// linkWait is how long a request waits for a link that is not up yet.
+	linkWait = timekeeper.Second
+)
+
+// candidate is a daemon that may run a request.
+type candidate struct {
+	// peer is nil for this daemon itself.
+	peer  *linker.Peer
+	relay bool
+	free  int
+	slots int
+}
+
+// run finds a daemon for the call and runs it there, again if it may.
+func (f *Forwarder) run(ctx context.Context, c *exchanger.Call, s *resolver.Service) exchanger.Result {
+	b := f.budgets.of(c.Service)
+	b.earn(s.RetryBudget)
+	t := &try{call: c, idempotent: s.Idempotent(c.Method), tried: map[registrar.Incarnation]bool{}}
+	t.hook()
+	for n := 1; ; n++ {
+		r := f.once(ctx, t)
+		if n == maxTries || !t.again(r) || f.late(c) || ctx.Err() != nil {
+			return r
+		}
+		if !b.spend() {
+			f.count("retries_refused", c, string(r.Reason))
+			return r
+		}
+		f.count("retries", c, string(r.Reason))
+	}
+}
+
+// try is the tries of one call.
+type try struct {
+	call       *exchanger.Call
+	idempotent bool
+	started    bool
+	admitted   bool
+	tried      map[registrar.Incarnation]bool
+}
+
+// hook notes how far the call gets.
+func (t *try) hook() {
+	start := t.call.Start
+	t.call.Start = func(a exchanger.Answer) error {
+		t.started = true
+		return start(a)
+	}
+	admitted := t.call.Admitted
+	t.call.Admitted = func() {
+		t.admitted = true
+		if admitted != nil {
+			admitted()
+		}
+	}
+}
+
+// again tells whether the call may run once more: nothing was passed on, its
+// body is still there, and it did not run or may run twice.
+func (t *try) again(r exchanger.Result) bool {
+	if t.started || (t.call.Body != nil && t.admitted) {
+		return false
+	}
+	switch r.Outcome {
+	case exchanger.NotRun:
+		return elsewhere(r.Reason)
+	case exchanger.Unknown:
+		return t.idempotent
+	}
+	return false
+}
+
+// elsewhere tells whether another try may fare better.
+func elsewhere(r exchanger.Reason) bool {
+	switch r {
+	case exchanger.ReasonNotOwner, exchanger.ReasonLinkDial, exchanger.ReasonUpstreamDial,
+		exchanger.ReasonUpstreamBusy, exchanger.ReasonPaused, exchanger.ReasonNoUpstream,
+		exchanger.ReasonStopping, exchanger.ReasonNoEntry:
+		return true
+	}
+	return false
+}
+
+func (f *Forwarder) late(c *exchanger.Call) bool {
+	return c.Deadline > 0 && f.Clock.Now() >= c.Deadline
+}
+
+// once runs the call on the best candidate now.
+func (f *Forwarder) once(ctx context.Context, t *try) exchanger.Result {
+	snapshot := f.Snapshot()
+	best, ok := f.choose(ctx, snapshot, t)
+	if !ok {
+		return exchanger.Refused(exchanger.ReasonNoEntry, timekeeper.Second)
+	}
+	if best.peer == nil {
+		t.tried[f.Self().Incarnation] = true
+		return f.Owner.Run(ctx, t.call)
+	}
+	t.tried[best.peer.Member().Incarnation] = true
+	return best.peer.Run(ctx, t.call, best.relay)
+}
+
+// choose returns the daemon to run the call: this one while it has a slot free,
+// else the one known to have most, else one of the site that will choose.
+func (f *Forwarder) choose(ctx context.Context, s *steerer.Snapshot, t *try) (candidate, bool) {
+	k := pooler.Key{Site: t.call.Site, Service: t.call.Service}
+	serving := s.View.Serving(k.Site)
+	var best candidate
+	found := false
+	for _, m := range serving {
+		c, ok := f.candidate(m, k)
+		if !ok || t.tried[m.Incarnation] {
+			continue
+		}
+		if !found || c.better(best) {
+			best, found = c, true
+		}
+		if c.peer == nil && c.free > 0 {
+			return c, true
+		}
+	}
+	if found {
+		return best, true
+	}
+	return f.relay(ctx, serving, t)
+}
+
+// candidate returns m if it is known to own upstreams of k.
+func (f *Forwarder) candidate(m registrar.Member, k pooler.Key) (candidate, bool) {
+	if m.Incarnation == f.Self().Incarnation {
+		free, slots := f.Owner.Free(k)
+		return candidate{free: free, slots: slots}, slots > 0
+	}
+	p := f.Links.Linked(m.Incarnation)
+	if p == nil {
+		return candidate{}, false
+	}
+	free, slots := p.Free(k)
+	return candidate{peer: p, free: free, slots: slots}, slots > 0
+}
+
+// better compares by free slots, and among the full by the wait to expect.
+func (c candidate) better(d candidate) bool {
+	if c.free > 0 || d.free > 0 {
+		return c.free > d.free
+	}
+	return c.free*d.slots > d.free*c.slots
+}
+
+// relay picks a daemon at random that will choose the owner.
+func (f *Forwarder) relay(ctx context.Context, serving []registrar.Member, t *try) (candidate, bool) {
+	if t.call.Relayed {
+		return candidate{}, false
+	}
+	var open []registrar.Member
+	for _, m := range serving {
+		if m.Incarnation != f.Self().Incarnation && !t.tried[m.Incarnation] {
+			open = append(open, m)
+		}
+	}
+	if len(open) == 0 {
+		return candidate{}, false
+	}
+	m := open[rand.IntN(len(open))]
+	p := f.Links.Peer(f.Base, m)
+	ctx, cancel := context.WithTimeout(ctx, linkWait.Duration())
+	defer cancel()
+	p.Await(ctx)
+	return candidate{peer: p, relay: true}, true
+}
--- /dev/null
+++ b/internal/standin/caller/load.go
@@ -0,0 +1,302 @@
+package caller
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"math/rand/v2"
+	"net"
+	"net/http"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"github.com/HdrHistogram/hdrhistogram-go"
+
+	"github.com/gullvale/gullvale/internal/standin/payload"
+	"github.com/gullvale/gullvale/pkg/finder"
+	"github.com/gullvale/gullvale/pkg/timekeeper"
+)
+
+const (
+	// histogram bounds, in microseconds, and its precision.
+	lowestMicros  = 1
+	highestMicros = 3600 * 1000 * 1000
+	digits        = 3
+
+	bodyBytes = 256
+
+	// maxComeBacks is how often a caller that was refused comes back.
+	maxComeBacks = 3
+)
+
+type (
+	// Stream is the requests of one kind.
+	Stream struct {
+		// Class names it in reports.
+		Class   string
+		Service string
+		// Rate is how many requests begin a second.
+		Rate float64
+		// PostPart is the part of them that must not run twice.
+		PostPart float64
+		// Bytes is the length of an answer.
+		Bytes int64
+		// Deadline is how long callers wait, 0 for as long as the service
+		// allows.
+		Deadline timekeeper.Millis
+		// Blocks are the client blocks that callers come from; one is drawn
+		// for each request.
+		Blocks []string
+		// Finder returns the finder of a block.
+		Finder func(block string) *finder.Finder
+		Seed   uint64
+	}
+
+	// Load drives streams and keeps the accounts. The zero value is ready.
+	Load struct {
+		// OnAnswer is told of every answer. Nil means nobody wants to know.
+		OnAnswer func(s *Stream, latency time.Duration, p finder.Response)
+
+		lock    sync.Mutex
+		classes map[string]*Account
+		tokens  map[string]tokenState
+		active  sync.WaitGroup
+		running atomic.Int64
+	}
+
+	// Account is what came of the requests of one class.
+	Account struct {
+		Class    string
+		Requests uint64
+		Answered uint64
+		NotRun   uint64
+		Unknown  uint64
+		// Cut is answers that broke off; Wrong is answers with other bytes
+		// than are due.
+		Cut   uint64
+		Wrong uint64
+		// ComeBacks counts tries after a refusal that named a time.
+		ComeBacks uint64
+		Latency   *hdrhistogram.Histogram
+		// Reasons counts why requests were not answered.
+		Reasons map[string]uint64
+	}
+
+	// tokenState is what the caller of a token was told.
+	tokenState struct {
+		post    bool
+		outcome finder.Outcome
+	}
+
+	// Verdict is what the journals say of the accounts.
+	Verdict struct {
+		// Lost is requests answered to their callers that no upstream ran.
+		Lost int
+		// Doubled is requests that must not run twice and did.
+		Doubled int
+		// NotRunRan is requests refused as not run that an upstream ran.
+		NotRunRan int
+		Cut       uint64
+		Wrong     uint64
+	}
+)
+
+// Broken tells whether any promise was broken.
+func (v Verdict) Broken() bool {
+	return v.Lost+v.Doubled+v.NotRunRan > 0 || v.Cut+v.Wrong > 0
+}
+
+// NewClient returns an HTTP client for many callers.
+func NewClient(dial func(ctx context.Context, network, address string) (net.Conn, error)) *http.Client {
+	t := &http.Transport{
+		DialContext:         dial,
+		MaxIdleConnsPerHost: 256,
+		IdleConnTimeout:     30 * time.Second,
+		DisableCompression:  true,
+	}
+	return &http.Client{Transport: t}
+}
+
+// Run begins requests of s at random times until ctx ends. Those under way go
+// on; Wait waits for them.
+func (l *Load) Run(ctx context.Context, s Stream) {
+	if s.Rate <= 0 {
+		return
+	}
+	r := rand.New(rand.NewPCG(s.Seed, s.Seed+1))
+	next := time.Now()
+	for n := 0; ; n++ {
+		next = next.Add(time.Duration(r.ExpFloat64() / s.Rate * float64(time.Second)))
+		select {
+		case <-ctx.Done():
+			return
+		case <-time.After(time.Until(next)):
+		}
+		post := r.Float64() < s.PostPart
+		block := s.Blocks[r.IntN(len(s.Blocks))]
+		l.active.Add(1)
+		l.running.Add(1)
+		go l.runOne(&s, fmt.Sprintf("%s-%x-%d", s.Class, s.Seed, n), post, block)
+	}
+}
+
+// Wait waits for the requests under way.
+func (l *Load) Wait() {
+	l.active.Wait()
+}
+
+// Running returns how many requests are under way.
+func (l *Load) Running() int64 {
+	return l.running.Load()
+}
+
+func (l *Load) runOne(s *Stream, token string, post bool, block string) {
+	defer l.active.Done()
+	defer l.running.Add(-1)
+	began := time.Now()
+	r := request(s, token, post, block)
+	f := s.Finder(block)
+	ctx := context.Background()
+	backs := 0
+	p, err := f.Send(ctx, r)
+	for err == nil && p.Outcome == finder.NotRun && p.RetryAfter > 0 && backs < maxComeBacks {
+		backs++
+		finder.Wait(ctx, p)
+		p, err = f.Send(ctx, r)
+	}
+	if err != nil {
+		p.Outcome = finder.NotRun
+	}
+	broken := verify(p, token, r.Body, s.Bytes)
+	latency := time.Since(began)
+	l.note(s, token, post, p, broken, latency, backs)
+	if l.OnAnswer != nil {
+		l.OnAnswer(s, latency, p)
+	}
+}
+
+func request(s *Stream, token string, post bool, block string) finder.Request {
+	r := finder.Request{
+		Service:  s.Service,
+		Block:    block,
+		Method:   http.MethodGet,
+		Target:   fmt.Sprintf("/item?%s=%s&%s=%d", payload.ParamToken, token, payload.ParamBytes, s.Bytes),
+		Deadline: s.Deadline,
+	}
+	if post {
+		r.Method = http.MethodPost
+		r.Body = make([]byte, bodyBytes)
+		copy(r.Body, token)
+	}
+	return r
+}
+
+// errCut marks an answer that broke off.
+var errCut = errors.New("cut")
+
+func verify(p finder.Response, token string, body []byte, length int64) error {
+	if p.Body == nil {
+		return nil
+	}
+	defer p.Body.Close()
+	if p.Status != http.StatusOK {
+		return fmt.Errorf("status %d", p.Status)
+	}
+	_, err := payload.Verify(p.Body, payload.New(token, body, length))
+	var ne net.Error
+	if err != nil && (errors.As(err, &ne) || isCut(err)) {
+		return errCut
+	}
+	return err
+}
+
+func (l *Load) note(s *Stream, token string, post bool, p finder.Response, broken error, latency time.Duration, backs int) {
+	l.lock.Lock()
+	defer l.lock.Unlock()
+	a := l.account(s.Class)
+	a.Requests++
+	a.ComeBacks += uint64(backs)
+	if l.tokens == nil {
+		l.tokens = map[string]tokenState{}
+	}
+	l.tokens[token] = tokenState{post: post, outcome: p.Outcome}
+	switch p.Outcome {
+	case finder.Answered:
+		a.Answered++
+		_ = a.Latency.RecordValue(max(latency.Microseconds(), lowestMicros))
+	case finder.NotRun:
+		a.NotRun++
+	default:
+		a.Unknown++
+	}
+	if p.Outcome != finder.Answered {
+		a.Reasons[p.Outcome.String()+": "+p.Reason]++
+	}
+	switch {
+	case errors.Is(broken, errCut):
+		a.Cut++
+	case broken != nil:
+		a.Wrong++
+		a.Reasons["wrong: "+broken.Error()]++
+	}
+}
+
+func (l *Load) account(class string) *Account {
+	if l.classes == nil {
+		l.classes = map[string]*Account{}
+	}
+	a := l.classes[class]
+	if a == nil {
+		a = &Account{
+			Class:   class,
+			Latency: hdrhistogram.New(lowestMicros, highestMicros, digits),
+			Reasons: map[string]uint64{},
+		}
+		l.classes[class] = a
+	}
+	return a
+}
+
+// Accounts returns a copy of the accounts.
+func (l *Load) Accounts() []Account {
+	l.lock.Lock()
+	defer l.lock.Unlock()
+	var out []Account
+	for _, a := range l.classes {
+		b := *a
+		b.Latency = hdrhistogram.Import(a.Latency.Export())
+		out = append(out, b)
+	}
+	return out
+}
+
+// Judge compares the accounts with the journals of all upstreams.
+func (l *Load) Judge(journals []map[string]int) Verdict {
+	ran := map[string]int{}
+	for _, j := range journals {
+		for t, n := range j {
+			ran[t] += n
+		}
+	}
+	l.lock.Lock()
+	defer l.lock.Unlock()
+	var v Verdict
+	for t, s := range l.tokens {
+		n := ran[t]
+		if s.outcome == finder.Answered && n == 0 {
+			v.Lost++
+		}
+		if s.post && n > 1 {
+			v.Doubled++
+		}
+		if s.outcome == finder.NotRun && n > 0 && s.post {
+			v.NotRunRan++
+		}
+	}
+	for _, a := range l.classes {
+		v.Cut += a.Cut
+		v.Wrong += a.Wrong
+	}
+	return v
+}
--- /dev/null
+++ b/internal/standin/payload/stream.go
@@ -0,0 +1,72 @@
+package payload
+
+import (
+	"bytes"
+	"encoding/binary"
+	"io"
+	"math/rand/v2"
+
+	"github.com/cespare/xxhash/v2"
+	"github.com/rotisserie/eris"
+)
+
+// The parts of a request to a stand-in upstream.
+const (
+	// ParamToken names the request; ParamBytes is the length of the answer.
+	ParamToken = "Token"
+	ParamBytes = "Bytes"
+
+	seedBytes = 32
+)
+
+// Stream is the answer to one token: the same bytes each time.
+type Stream struct {
+	source *rand.ChaCha8
+	left   int64
+}
+
+// New returns the answer of the given length to a token and a request body.
+func New(token string, body []byte, length int64) *Stream {
+	var seed [seedBytes]byte
+	binary.LittleEndian.PutUint64(seed[0:], xxhash.Sum64String(token))
+	binary.LittleEndian.PutUint64(seed[8:], xxhash.Sum64(body))
+	return &Stream{source: rand.NewChaCha8(seed), left: length}
+}
+
+// Read returns the next bytes of the answer.
+func (s *Stream) Read(p []byte) (int, error) {
+	if s.left == 0 {
+		return 0, io.EOF
+	}
+	if int64(len(p)) > s.left {
+		p = p[:s.left]
+	}
+	n, _ := s.source.Read(p)
+	s.left -= int64(n)
+	return n, nil
+}
+
+// Verify reads an answer and compares it with the one that is due.
+func Verify(r io.Reader, want *Stream) (int64, error) {
+	var total int64
+	got := make([]byte, 32<<10)
+	due := make([]byte, len(got))
+	for {
+		n, err := r.Read(got)
+		if n > 0 {
+			if m, _ := io.ReadFull(want, due[:n]); m < n || !bytes.Equal(got[:n], due[:n]) {
+				return total, eris.Errorf("wrong byte behind %d", total)
+			}
+			total += int64(n)
+		}
+		if err == io.EOF {
+			if want.left > 0 {
+				return total, eris.Errorf("%d bytes short", want.left)
+			}
+			return total, nil
+		}
+		if err != nil {
+			return total, err
+		}
+	}
+}
--- /dev/null
+++ b/internal/standin/platform/server.go
@@ -0,0 +1,244 @@
+package platform
+
+import (
+	"encoding/json"
+	"io"
+	"net/http"
+	"strconv"
+	"strings"
+	"sync"
+	"time"
+
+	"github.com/gullvale/gullvale/pkg/storer"
+	"github.com/gullvale/gullvale/pkg/timekeeper"
+)
+
+const objectsPath = "/Objects/"
+
+type (
+	// Faults is what goes wrong. The zero value is a platform in good health.
+	Faults struct {
+		// Down refuses every call with status 503.
+		Down bool
+		// SlowMillis delays every call.
+		SlowMillis timekeeper.Millis
+		// LoseAnswers is how many of the next writes take effect and then lose
+		// their answer with the connection.
+		LoseAnswers int
+	}
+
+	// Counts is how many calls were made.
+	Counts struct {
+		Reads   uint64
+		Writes  uint64
+		Watches uint64
+		Waiting int
+	}
+
+	// Server is the object API over HTTP. The zero value serves an empty store
+	// to anybody; Token restricts it.
+	Server struct {
+		Store Store
+		Token string
+
+		lock   sync.Mutex
+		faults Faults
+		counts Counts
+	}
+)
+
+// SetFaults replaces what goes wrong.
+func (s *Server) SetFaults(f Faults) {
+	s.lock.Lock()
+	defer s.lock.Unlock()
+	s.faults = f
+}
+
+// Counts returns the calls so far.
+func (s *Server) Counts() Counts {
+	s.lock.Lock()
+	defer s.lock.Unlock()
+	return s.counts
+}
+
+// ServeHTTP serves the API, and /Faults and /Counts for whoever runs it.
+func (s *Server) ServeHTTP(w http.ResponseWriter, r *http.Request) {
+	switch r.URL.Path {
+	case "/Faults":
+		s.serveFaults(w, r)
+		return
+	case "/Counts":
+		writeJSON(w, s.Counts())
+		return
+	}
+	if s.Token != "" && r.Header.Get("Authorization") != "Bearer "+s.Token {
+		http.Error(w, "unknown token", http.StatusUnauthorized)
+		return
+	}
+	if !s.arrive(w, r) {
+		return
+	}
+	switch {
+	case strings.HasPrefix(r.URL.Path, objectsPath):
+		s.serveObject(w, r, strings.TrimPrefix(r.URL.Path, objectsPath))
+	case r.URL.Path == "/List":
+		s.serveList(w, r)
+	case r.URL.Path == "/Watch":
+		s.serveWatch(w, r)
+	default:
+		http.NotFound(w, r)
+	}
+}
+
+// arrive counts a call and lets the faults that stop it happen.
+func (s *Server) arrive(w http.ResponseWriter, r *http.Request) bool {
+	s.lock.Lock()
+	f := s.faults
+	switch {
+	case r.URL.Path == "/Watch":
+		s.counts.Watches++
+	case r.Method == http.MethodGet:
+		s.counts.Reads++
+	default:
+		s.counts.Writes++
+	}
+	s.lock.Unlock()
+	if f.SlowMillis > 0 {
+		select {
+		case <-time.After(f.SlowMillis.Duration()):
+		case <-r.Context().Done():
+			return false
+		}
+	}
+	if f.Down {
+		http.Error(w, "out of service", http.StatusServiceUnavailable)
+		return false
+	}
+	return true
+}
+
+func (s *Server) serveFaults(w http.ResponseWriter, r *http.Request) {
+	var f Faults
+	if err := json.NewDecoder(r.Body).Decode(&f); err != nil {
+		http.Error(w, err.Error(), http.StatusBadRequest)
+		return
+	}
+	s.SetFaults(f)
+}
+
+func (s *Server) serveObject(w http.ResponseWriter, r *http.Request, name string) {
+	switch r.Method {
+	case http.MethodGet:
+		o, ok := s.Store.get(name)
+		if !ok {
+			http.NotFound(w, r)
+			return
+		}
+		w.Header().Set("ETag", tag(o.Revision))
+		_, _ = w.Write(o.Body)
+	case http.MethodPut, http.MethodDelete:
+		s.serveWrite(w, r, name)
+	default:
+		http.Error(w, "method not allowed", http.StatusMethodNotAllowed)
+	}
+}
+
+func (s *Server) serveWrite(w http.ResponseWriter, r *http.Request, name string) {
+	body, err := io.ReadAll(io.LimitReader(r.Body, storer.MaxObjectBytes+1))
+	if err != nil {
+		return
+	}
+	if len(body) > storer.MaxObjectBytes {
+		http.Error(w, "object too large", http.StatusRequestEntityTooLarge)
+		return
+	}
+	c, ok := conditionOf(r)
+	if !ok {
+		http.Error(w, "a write needs If-Match or If-None-Match", http.StatusBadRequest)
+		return
+	}
+	revision, done := s.apply(r.Method, name, body, c)
+	if s.losesAnswer() {
+		panic(http.ErrAbortHandler)
+	}
+	if !done {
+		http.Error(w, "another revision", http.StatusPreconditionFailed)
+		return
+	}
+	w.Header().Set("ETag", tag(revision))
+}
+
+func (s *Server) apply(method, name string, body []byte, c condition) (storer.Revision, bool) {
+	if method == http.MethodDelete {
+		return 0, s.Store.remove(name, c)
+	}
+	return s.Store.put(name, body, c)
+}
+
+func (s *Server) losesAnswer() bool {
+	s.lock.Lock()
+	defer s.lock.Unlock()
+	if s.faults.LoseAnswers == 0 {
+		return false
+	}
+	s.faults.LoseAnswers--
+	return true
+}
+
+func conditionOf(r *http.Request) (condition, bool) {
+	if r.Header.Get("If-None-Match") == "*" {
+		return condition{absent: true}, true
+	}
+	text, err := strconv.Unquote(r.Header.Get("If-Match"))
+	if err != nil {
+		return condition{}, false
+	}
+	n, err := strconv.ParseUint(text, 10, 64)
+	return condition{at: storer.Revision(n)}, err == nil
+}
+
+func (s *Server) serveList(w http.ResponseWriter, r *http.Request) {
+	q := r.URL.Query()
+	limit, _ := strconv.Atoi(q.Get("Limit"))
+	writeJSON(w, s.Store.list(q.Get("Prefix"), q.Get("After"), limit))
+}
+
+func (s *Server) serveWatch(w http.ResponseWriter, r *http.Request) {
+	q := r.URL.Query()
+	since, _ := strconv.ParseUint(q.Get("Since"), 10, 64)
+	wait, _ := strconv.ParseInt(q.Get("WaitMillis"), 10, 64)
+	s.count(1)
+	defer s.count(-1)
+	end := time.NewTimer(timekeeper.Millis(wait).Duration())
+	defer end.Stop()
+	for {
+		b, changed := s.Store.since(q["Prefix"], storer.Revision(since))
+		if len(b.Objects) > 0 {
+			writeJSON(w, b)
+			return
+		}
+		select {
+		case <-changed:
+		case <-end.C:
+			writeJSON(w, b)
+			return
+		case <-r.Context().Done():
+			return
+		}
+	}
+}
+
+func (s *Server) count(n int) {
+	s.lock.Lock()
+	defer s.lock.Unlock()
+	s.counts.Waiting += n
+}
+
+func tag(r storer.Revision) string {
+	return strconv.Quote(strconv.FormatUint(uint64(r), 10))
+}
+
+func writeJSON(w http.ResponseWriter, v any) {
+	w.Header().Set("Content-Type", "application/json")
+	_ = json.NewEncoder(w).Encode(v)
+}
--- /dev/null
+++ b/internal/standin/platform/store.go
@@ -0,0 +1,113 @@
+package platform
+
+import (
+	"slices"
+	"strings"
+	"sync"
+
+	"github.com/gullvale/gullvale/pkg/storer"
+)
+
+type (
+	// Store is the objects. The zero value is empty.
+	Store struct {
+		lock     sync.Mutex
+		revision storer.Revision
+		objects  map[string]storer.Object
+		changed  chan struct{}
+	}
+
+	// condition is what a write demands of the object.
+	condition struct {
+		absent bool
+		at     storer.Revision
+	}
+)
+
+func (s *Store) get(name string) (storer.Object, bool) {
+	s.lock.Lock()
+	defer s.lock.Unlock()
+	o, ok := s.objects[name]
+	return o, ok
+}
+
+// put writes an object; it reports false when the condition does not hold.
+func (s *Store) put(name string, body []byte, c condition) (storer.Revision, bool) {
+	s.lock.Lock()
+	defer s.lock.Unlock()
+	if !s.meets(name, c) {
+		return 0, false
+	}
+	if s.objects == nil {
+		s.objects = map[string]storer.Object{}
+	}
+	s.revision++
+	s.objects[name] = storer.Object{Name: name, Revision: s.revision, Body: body}
+	s.wake()
+	return s.revision, true
+}
+
+func (s *Store) remove(name string, c condition) bool {
+	s.lock.Lock()
+	defer s.lock.Unlock()
+	if !s.meets(name, c) {
+		return false
+	}
+	s.revision++
+	delete(s.objects, name)
+	s.wake()
+	return true
+}
+
+func (s *Store) meets(name string, c condition) bool {
+	o, ok := s.objects[name]
+	if c.absent {
+		return !ok
+	}
+	return ok && o.Revision == c.at
+}
+
+func (s *Store) wake() {
+	if s.changed != nil {
+		close(s.changed)
+		s.changed = nil
+	}
+}
+
+func (s *Store) list(prefix, after string, limit int) storer.Batch {
+	s.lock.Lock()
+	defer s.lock.Unlock()
+	b := storer.Batch{Revision: s.revision}
+	for n, o := range s.objects {
+		if strings.HasPrefix(n, prefix) && n > after {
+			b.Objects = append(b.Objects, o)
+		}
+	}
+	slices.SortFunc(b.Objects, func(x, y storer.Object) int { return strings.Compare(x.Name, y.Name) })
+	if limit > 0 && len(b.Objects) > limit {
+		b.Objects = b.Objects[:limit]
+	}
+	return b
+}
+
+// since returns the objects under prefixes above a revision, and a channel that
+// closes at the next write.
+func (s *Store) since(prefixes []string, since storer.Revision) (storer.Batch, <-chan struct{}) {
+	s.lock.Lock()
+	defer s.lock.Unlock()
+	b := storer.Batch{Revision: s.revision}
+	for n, o := range s.objects {
+		if o.Revision > since && hasPrefix(n, prefixes) {
+			b.Objects = append(b.Objects, o)
+		}
+	}
+	slices.SortFunc(b.Objects, func(x, y storer.Object) int { return int(x.Revision) - int(y.Revision) })
+	if s.changed == nil {
+		s.changed = make(chan struct{})
+	}
+	return b, s.changed
+}
+
+func hasPrefix(name string, prefixes []string) bool {
+	return slices.ContainsFunc(prefixes, func(p string) bool { return strings.HasPrefix(name, p) })
+}
--- /dev/null
+++ b/internal/standin/server/server.go
@@ -0,0 +1,293 @@
+package server
+
+import (
+	"encoding/json"
+	"io"
+	"math/rand/v2"
+	"net"
+	"net/http"
+	"strconv"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"github.com/gullvale/gullvale/internal/standin/payload"
+	"github.com/gullvale/gullvale/pkg/timekeeper"
+)
+
+// The headers by which this stand-in says that it shed a request, or is about to
+// stop.
+const (
+	HeaderNotRun   = "X-Not-Run"
+	HeaderDraining = "X-Draining"
+)
+
+const (
+	probePath   = "/health"
+	loadPath    = "/load"
+	journalPath = "/Journal"
+	drainPath   = "/Drain"
+
+	maxBody = 64 << 20
+
+	// longest bounds a drawn service time, in multiples of the mean.
+	longest = 8
+
+	pieceBytes = 16 << 10
+)
+
+type (
+	// Server is one stand-in upstream. Set the exported fields before use.
+	Server struct {
+		Name  string
+		Slots int
+		// ServiceMillis is the mean time to serve a request, drawn from an
+		// exponential distribution.
+		ServiceMillis float64
+		// Bytes is the length of an answer whose request names none.
+		Bytes int64
+		// Pace is how many bytes a second an answer flows; 0 is no limit.
+		Pace int64
+		// ConnMillis and ProbeMillis are what a new connection and a probe
+		// cost, during which nothing else is begun.
+		ConnMillis  timekeeper.Millis
+		ProbeMillis timekeeper.Millis
+		// ColdRequests is how many first requests take twice as long.
+		ColdRequests int64
+		// LagMillis is how old the load is that the load page shows.
+		LagMillis timekeeper.Millis
+		Seed      uint64
+
+		cpu      sync.Mutex
+		busy     atomic.Int64
+		peak     atomic.Int64
+		served   atomic.Int64
+		shed     atomic.Int64
+		probes   atomic.Int64
+		conns    atomic.Int64
+		draining atomic.Bool
+		drained  atomic.Int64
+		late     atomic.Int64
+
+		lock    sync.Mutex
+		random  *rand.Rand
+		journal map[string]int
+		shown   int64
+		shownAt time.Time
+	}
+
+	// Counts is what a stand-in did.
+	Counts struct {
+		Name    string
+		Slots   int
+		Peak    int64
+		Served  int64
+		Shed    int64
+		Probes  int64
+		Conns   int64
+		Late    int64
+		Journal map[string]int
+	}
+)
+
+// HTTP returns a server for s. The caller sets its address.
+func (s *Server) HTTP() *http.Server {
+	return &http.Server{Handler: s, ConnState: s.connState}
+}
+
+func (s *Server) connState(_ net.Conn, state http.ConnState) {
+	if state == http.StateNew {
+		s.conns.Add(1)
+		s.spend(s.ConnMillis)
+	}
+}
+
+// spend makes everything else wait.
+func (s *Server) spend(m timekeeper.Millis) {
+	if m <= 0 {
+		return
+	}
+	s.cpu.Lock()
+	defer s.cpu.Unlock()
+	time.Sleep(m.Duration())
+}
+
+// Drain announces that the server stops, or that it is back.
+func (s *Server) Drain(on bool) {
+	s.drained.Store(time.Now().UnixNano())
+	s.draining.Store(on)
+}
+
+// Counts returns what s did so far.
+func (s *Server) Counts() Counts {
+	s.lock.Lock()
+	defer s.lock.Unlock()
+	c := Counts{
+		Name:    s.Name,
+		Slots:   s.Slots,
+		Peak:    s.peak.Load(),
+		Served:  s.served.Load(),
+		Shed:    s.shed.Load(),
+		Probes:  s.probes.Load(),
+		Conns:   s.conns.Load(),
+		Late:    s.late.Load(),
+		Journal: make(map[string]int, len(s.journal)),
+	}
+	for k, v := range s.journal {
+		c.Journal[k] = v
+	}
+	return c
+}
+
+// Busy returns how many requests run now.
+func (s *Server) Busy() int64 {
+	return s.busy.Load()
+}
+
+// ServeHTTP serves requests, probes, and the pages for whoever runs s.
+func (s *Server) ServeHTTP(w http.ResponseWriter, r *http.Request) {
+	switch r.URL.Path {
+	case probePath:
+		s.serveProbe(w)
+	case loadPath:
+		writeJSON(w, s.laggingLoad())
+	case journalPath:
+		writeJSON(w, s.Counts())
+	case drainPath:
+		s.Drain(r.URL.Query().Get("On") != "false")
+	default:
+		s.serve(w, r)
+	}
+}
+
+func (s *Server) serveProbe(w http.ResponseWriter) {
+	s.probes.Add(1)
+	s.spend(s.ProbeMillis)
+	s.mark(w)
+	w.WriteHeader(http.StatusOK)
+}
+
+func (s *Server) mark(w http.ResponseWriter) {
+	if s.draining.Load() {
+		w.Header().Set(HeaderDraining, "1")
+	}
+}
+
+// laggingLoad is the number of busy slots some time ago.
+func (s *Server) laggingLoad() int64 {
+	s.lock.Lock()
+	defer s.lock.Unlock()
+	if time.Since(s.shownAt) >= s.LagMillis.Duration() {
+		s.shown = s.busy.Load()
+		s.shownAt = time.Now()
+	}
+	return s.shown
+}
+
+// lateAfter is when new work at a draining server counts as late.
+const lateAfter = 2 * time.Second
+
+func (s *Server) serve(w http.ResponseWriter, r *http.Request) {
+	if s.draining.Load() && time.Now().UnixNano()-s.drained.Load() > int64(lateAfter) {
+		s.late.Add(1)
+	}
+	if n := s.busy.Add(1); n > int64(s.Slots) {
+		s.busy.Add(-1)
+		s.shed.Add(1)
+		s.mark(w)
+		w.Header().Set(HeaderNotRun, "1")
+		w.WriteHeader(http.StatusServiceUnavailable)
+		return
+	}
+	defer s.busy.Add(-1)
+	s.notePeak()
+	body, err := io.ReadAll(io.LimitReader(r.Body, maxBody))
+	if err != nil {
+		// Half a request is no request: nothing of it is run.
+		w.WriteHeader(http.StatusBadRequest)
+		return
+	}
+	token := r.URL.Query().Get(payload.ParamToken)
+	s.run(token)
+	if !s.work(r) {
+		return
+	}
+	s.answer(w, r, token, body)
+}
+
+func (s *Server) notePeak() {
+	for {
+		n := s.busy.Load()
+		p := s.peak.Load()
+		if n <= p || s.peak.CompareAndSwap(p, n) {
+			return
+		}
+	}
+}
+
+// run notes in the journal that a request takes effect.
+func (s *Server) run(token string) {
+	s.served.Add(1)
+	s.lock.Lock()
+	defer s.lock.Unlock()
+	if s.journal == nil {
+		s.journal = map[string]int{}
+	}
+	s.journal[token]++
+}
+
+// work takes the time of the request. It reports false when the caller gave up.
+func (s *Server) work(r *http.Request) bool {
+	select {
+	case <-time.After(s.draw()):
+		return true
+	case <-r.Context().Done():
+		return false
+	}
+}
+
+func (s *Server) draw() time.Duration {
+	s.lock.Lock()
+	if s.random == nil {
+		s.random = rand.New(rand.NewPCG(s.Seed, s.Seed))
+	}
+	x := min(s.random.ExpFloat64(), longest)
+	s.lock.Unlock()
+	if s.served.Load() <= s.ColdRequests {
+		x *= 2
+	}
+	return time.Duration(x * s.ServiceMillis * float64(time.Millisecond))
+}
+
+func (s *Server) answer(w http.ResponseWriter, r *http.Request, token string, body []byte) {
+	length := s.Bytes
+	if n, err := strconv.ParseInt(r.URL.Query().Get(payload.ParamBytes), 10, 64); err == nil {
+		length = n
+	}
+	s.mark(w)
+	w.Header().Set("Content-Length", strconv.FormatInt(length, 10))
+	w.Header().Set("Content-Type", "application/octet-stream")
+	stream := payload.New(token, body, length)
+	piece := make([]byte, min(pieceBytes, max(length, 1)))
+	began := time.Now()
+	var sent int64
+	for {
+		n, err := stream.Read(piece)
+		if err != nil {
+			return
+		}
+		if _, err := w.Write(piece[:n]); err != nil {
+			return
+		}
+		sent += int64(n)
+		if s.Pace > 0 {
+			due := time.Duration(float64(sent) / float64(s.Pace) * float64(time.Second))
+			time.Sleep(due - time.Since(began))
+		}
+	}
+}
+
+func writeJSON(w http.ResponseWriter, v any) {
+	w.Header().Set("Content-Type", "application/json")
+	_ = json.NewEncoder(w).Encode(v)
+}
--- /dev/null
+++ b/internal/version/applier/applier.go
@@ -0,0 +1,147 @@
+package applier
+
+import (
+	"encoding/json"
+	"sync"
+
+	"github.com/rotisserie/eris"
+
+	"github.com/gullvale/gullvale/internal/version/resolver"
+	"github.com/gullvale/gullvale/pkg/recorder"
+)
+
+type (
+	// Applier holds the tree at a number. The zero value is the empty tree at
+	// number 0. It is safe for concurrent use.
+	Applier struct {
+		lock     sync.Mutex
+		tree     resolver.Tree
+		number   recorder.Number
+		waiting  map[recorder.Number]recorder.Change
+		history  []recorder.Change
+		rejected uint64
+	}
+
+	// Content is the body of a change of settings.
+	Content struct {
+		Edits []resolver.Edit
+		// Inverse takes the edits back.
+		Inverse []resolver.Edit
+	}
+)
+
+// historyLength is how many changes are kept for racing writers and for undo.
+const historyLength = 1000
+
+// ContentOf returns what a change does.
+func ContentOf(c recorder.Change) (Content, error) {
+	var content Content
+	err := json.Unmarshal(c.Body, &content)
+	return content, eris.Wrapf(err, "change %d", c.Number)
+}
+
+// Restore starts from a snapshot, unless a later state is here already.
+func (a *Applier) Restore(s recorder.Snapshot) error {
+	if s.Number == 0 {
+		return nil
+	}
+	var edits []resolver.Edit
+	if err := json.Unmarshal(s.Body, &edits); err != nil {
+		return eris.Wrapf(err, "snapshot %d", s.Number)
+	}
+	// The tree was checked when its changes were accepted.
+	tree, _ := resolver.Tree{}.Apply(edits)
+	a.lock.Lock()
+	defer a.lock.Unlock()
+	if s.Number <= a.number {
+		return nil
+	}
+	a.tree = tree
+	a.number = s.Number
+	a.drain()
+	return nil
+}
+
+// Add applies a change, or keeps it until those before it have come. It
+// reports whether the number went up.
+func (a *Applier) Add(c recorder.Change) bool {
+	a.lock.Lock()
+	defer a.lock.Unlock()
+	before := a.number
+	if c.Number <= a.number {
+		return false
+	}
+	if a.waiting == nil {
+		a.waiting = map[recorder.Number]recorder.Change{}
+	}
+	a.waiting[c.Number] = c
+	a.drain()
+	return a.number > before
+}
+
+func (a *Applier) drain() {
+	for n := range a.waiting {
+		if n <= a.number {
+			delete(a.waiting, n)
+		}
+	}
+	for {
+		c, ok := a.waiting[a.number+1]
+		if !ok {
+			return
+		}
+		delete(a.waiting, c.Number)
+		a.apply(c)
+	}
+}
+
+// apply never fails: a change that was accepted is in force. Edits that this
+// version does not understand are counted and left out.
+func (a *Applier) apply(c recorder.Change) {
+	content, err := ContentOf(c)
+	if err != nil {
+		a.rejected++
+	}
+	next, problems := a.tree.Apply(content.Edits)
+	a.rejected += uint64(len(problems))
+	a.tree = next
+	a.number = c.Number
+	a.history = append(a.history, c)
+	if len(a.history) > historyLength {
+		a.history = append([]recorder.Change(nil), a.history[len(a.history)-historyLength/2:]...)
+	}
+}
+
+// State returns the tree in force and its number.
+func (a *Applier) State() (resolver.Tree, recorder.Number) {
+	a.lock.Lock()
+	defer a.lock.Unlock()
+	return a.tree, a.number
+}
+
+// Rejected counts what was accepted but not understood here.
+func (a *Applier) Rejected() uint64 {
+	a.lock.Lock()
+	defer a.lock.Unlock()
+	return a.rejected
+}
+
+// History returns the changes behind a number, as far back as they are kept.
+func (a *Applier) History(after recorder.Number) []recorder.Change {
+	a.lock.Lock()
+	defer a.lock.Unlock()
+	var out []recorder.Change
+	for _, c := range a.history {
+		if c.Number > after {
+			out = append(out, c)
+		}
+	}
+	return out
+}
+
+// Snapshot returns the state as a snapshot.
+func (a *Applier) Snapshot() (recorder.Snapshot, error) {
+	t, n := a.State()
+	body, err := json.Marshal(t.Beneath(resolver.Path{}))
+	return recorder.Snapshot{Number: n, Body: body}, err
+}
--- /dev/null
+++ b/internal/version/locator/store.go
@@ -0,0 +1,137 @@
+package locator
+
+import (
+	"bufio"
+	"bytes"
+	"compress/gzip"
+	"context"
+	"fmt"
+	"io"
+	"net/netip"
+	"strings"
+
+	"github.com/rotisserie/eris"
+
+	"github.com/gullvale/gullvale/pkg/registrar"
+	"github.com/gullvale/gullvale/pkg/storer"
+)
+
+const (
+	prefix = "Blocks/"
+
+	// partBlocks is how many blocks one stored part holds. Compressed, that
+	// many stay far below storer.MaxObjectBytes.
+	partBlocks = 40000
+
+	// partsAtOnce bounds one answer of the store.
+	partsAtOnce = 4
+
+	// maxPartBytes bounds a part when it is read.
+	maxPartBytes = 64 << 20
+)
+
+// Read reads a table from text: a block and its failure domain a line, such as
+// "10.1.0.0/16 erie/a".
+func Read(r io.Reader) (*Table, error) {
+	var b Builder
+	if err := b.read(r); err != nil {
+		return nil, err
+	}
+	return b.Table(), nil
+}
+
+func (b *Builder) read(r io.Reader) error {
+	s := bufio.NewScanner(r)
+	line := 0
+	for s.Scan() {
+		line++
+		text := strings.TrimSpace(s.Text())
+		if text == "" || strings.HasPrefix(text, "#") {
+			continue
+		}
+		if err := b.line(text); err != nil {
+			return eris.Wrapf(err, "line %d", line)
+		}
+	}
+	return s.Err()
+}
+
+func (b *Builder) line(text string) error {
+	block, site, ok := strings.Cut(text, " ")
+	if !ok {
+		return eris.Errorf("%q is not a block and a failure domain", text)
+	}
+	p, err := netip.ParsePrefix(block)
+	if err != nil {
+		return eris.Errorf("%q is not a block", block)
+	}
+	return b.Add(p, registrar.Site(strings.TrimSpace(site)))
+}
+
+// Save stores the text of a table under a name that was not used before.
+func Save(ctx context.Context, c *storer.Client, name string, text io.Reader) (int, error) {
+	s := bufio.NewScanner(text)
+	blocks := 0
+	for part := 0; ; part++ {
+		body, n, err := nextPart(s)
+		if err != nil {
+			return blocks, err
+		}
+		if n == 0 {
+			return blocks, nil
+		}
+		if _, err := c.Create(ctx, fmt.Sprintf("%s%s/%06d", prefix, name, part), body); err != nil {
+			return blocks, eris.Wrapf(err, "table %s part %d", name, part)
+		}
+		blocks += n
+	}
+}
+
+func nextPart(s *bufio.Scanner) ([]byte, int, error) {
+	var b bytes.Buffer
+	z := gzip.NewWriter(&b)
+	n := 0
+	for n < partBlocks && s.Scan() {
+		if _, err := fmt.Fprintln(z, s.Text()); err != nil {
+			return nil, n, err
+		}
+		n++
+	}
+	if err := z.Close(); err != nil {
+		return nil, n, err
+	}
+	return b.Bytes(), n, s.Err()
+}
+
+// Load reads a stored table.
+func Load(ctx context.Context, c *storer.Client, name string) (*Table, error) {
+	var b Builder
+	after := ""
+	for {
+		batch, err := c.List(ctx, prefix+name+"/", after, partsAtOnce)
+		if err != nil {
+			return nil, err
+		}
+		for _, o := range batch.Objects {
+			if err := b.part(o.Body); err != nil {
+				return nil, eris.Wrapf(err, "object %s", o.Name)
+			}
+			after = o.Name
+		}
+		if len(batch.Objects) < partsAtOnce {
+			break
+		}
+	}
+	if len(b.table.origin) == 0 {
+		return nil, eris.Wrapf(storer.ErrNotFound, "table %s", name)
+	}
+	return b.Table(), nil
+}
+
+func (b *Builder) part(body []byte) error {
+	z, err := gzip.NewReader(bytes.NewReader(body))
+	if err != nil {
+		return err
+	}
+	return b.read(io.LimitReader(z, maxPartBytes))
+}
--- /dev/null
+++ b/internal/version/locator/table.go
@@ -0,0 +1,121 @@
+package locator
+
+import (
+	"net/netip"
+
+	"github.com/gaissmai/bart"
+	"github.com/rotisserie/eris"
+
+	"github.com/gullvale/gullvale/pkg/hasher"
+	"github.com/gullvale/gullvale/pkg/registrar"
+)
+
+const (
+	// A caller outside all blocks is treated as if its network of this many
+	// bits were a block, so that neighbours go together.
+	strayBits4 = 24
+	strayBits6 = 48
+
+	maxOrigins = 1 << 16
+)
+
+type (
+	// Table maps addresses to blocks. The zero value has no blocks.
+	Table struct {
+		blocks  bart.Table[uint32]
+		origins []registrar.Site
+		// origin and hash are indexed by the number of the block.
+		origin []uint16
+		hash   []hasher.Hash
+	}
+
+	// Builder builds a table.
+	Builder struct {
+		table Table
+		known map[registrar.Site]uint16
+	}
+
+	// Block is where an address belongs.
+	Block struct {
+		// Origin is the failure domain of the block, "" when the address is
+		// in none.
+		Origin registrar.Site
+		// Hash is the block's place in the key space.
+		Hash hasher.Hash
+	}
+)
+
+// Add puts a block into the table. A block that is there already moves to
+// origin.
+func (b *Builder) Add(p netip.Prefix, origin registrar.Site) error {
+	if !p.IsValid() {
+		return eris.New("invalid block")
+	}
+	i, err := b.index(origin)
+	if err != nil {
+		return err
+	}
+	n := uint32(len(b.table.origin))
+	b.table.blocks.Insert(p, n)
+	b.table.origin = append(b.table.origin, i)
+	b.table.hash = append(b.table.hash, hashOf(p))
+	return nil
+}
+
+func (b *Builder) index(origin registrar.Site) (uint16, error) {
+	if i, ok := b.known[origin]; ok {
+		return i, nil
+	}
+	if len(b.table.origins) == maxOrigins {
+		return 0, eris.New("too many origins")
+	}
+	if b.known == nil {
+		b.known = map[registrar.Site]uint16{}
+	}
+	i := uint16(len(b.table.origins))
+	b.known[origin] = i
+	b.table.origins = append(b.table.origins, origin)
+	return i, nil
+}
+
+// Table returns what was built. The builder must not be used any more.
+func (b *Builder) Table() *Table {
+	return &b.table
+}
+
+// Len returns the number of blocks.
+func (t *Table) Len() int {
+	return t.blocks.Size()
+}
+
+// Find returns the block of an address. It does not allocate.
+func (t *Table) Find(a netip.Addr) Block {
+	a = a.Unmap()
+	n, ok := t.blocks.Lookup(a)
+	if !ok {
+		return Block{Hash: strayHash(a)}
+	}
+	return Block{Origin: t.origins[t.origin[n]], Hash: t.hash[n]}
+}
+
+func strayHash(a netip.Addr) hasher.Hash {
+	bits := strayBits6
+	if a.Is4() {
+		bits = strayBits4
+	}
+	p, err := a.Prefix(bits)
+	if err != nil {
+		return 0
+	}
+	return hashOf(p)
+}
+
+func hashOf(p netip.Prefix) hasher.Hash {
+	b := p.Masked().Addr().As16()
+	var high, low hasher.Hash
+	for i := range 8 {
+		high = high<<8 | hasher.Hash(b[i])
+		low = low<<8 | hasher.Hash(b[i+8])
+	}
+	return hasher.Mix(hasher.Mix(high, low), hasher.Hash(p.Bits()))
+}
--- /dev/null
+++ b/internal/version/parser/parse.go
@@ -0,0 +1,206 @@
+package parser
+
+import (
+	"errors"
+	"fmt"
+	"strings"
+
+	"github.com/pelletier/go-toml/v2"
+	"github.com/pelletier/go-toml/v2/unstable"
+)
+
+// The kinds of values that settings have.
+const (
+	KindText Kind = iota
+	KindNumber
+	KindBool
+	KindList
+)
+
+type (
+	// Kind is the TOML kind of a value.
+	Kind uint8
+
+	// Position is a place in a file. Line counts from 1; 0 means the value
+	// came from elsewhere, such as a command line.
+	Position struct {
+		File string
+		Line int
+	}
+
+	// Entry is one setting.
+	Entry struct {
+		// Path is the dotted key, tables included.
+		Path []string
+		Kind Kind
+		// Text is the value of anything but a list.
+		Text string
+		// List holds the elements of a list.
+		List []string
+		Position
+	}
+
+	// Problem is one fault found in settings.
+	Problem struct {
+		Position
+		// Path names the setting at fault.
+		Path string
+		Text string
+	}
+
+	// Problems is every fault found. As an error it prints one a line.
+	Problems []Problem
+)
+
+// String prints the position as "file:line".
+func (p Position) String() string {
+	if p.Line == 0 {
+		return p.File
+	}
+	return fmt.Sprintf("%s:%d", p.File, p.Line)
+}
+
+// Error prints the problem with its position and path.
+func (p Problem) Error() string {
+	var parts []string
+	if at := p.Position.String(); at != "" {
+		parts = append(parts, at)
+	}
+	if p.Path != "" {
+		parts = append(parts, p.Path)
+	}
+	return strings.Join(append(parts, p.Text), ": ")
+}
+
+// Error lists the problems, one a line.
+func (p Problems) Error() string {
+	lines := make([]string, len(p))
+	for i, q := range p {
+		lines[i] = q.Error()
+	}
+	return strings.Join(lines, "\n")
+}
+
+// OrNil returns p as an error, or nil when it is empty.
+func (p Problems) OrNil() error {
+	if len(p) == 0 {
+		return nil
+	}
+	return p
+}
+
+// Name returns the path as one dotted word.
+func (e Entry) Name() string {
+	return strings.Join(e.Path, ".")
+}
+
+// Parse reads data, which came from file.
+func Parse(file string, data []byte) ([]Entry, Problems) {
+	var whole map[string]any
+	if err := toml.Unmarshal(data, &whole); err != nil {
+		return nil, Problems{syntaxProblem(file, err)}
+	}
+	w := walker{file: file}
+	w.parser.Reset(data)
+	for w.parser.NextExpression() {
+		w.expression(w.parser.Expression())
+	}
+	return w.entries, w.problems
+}
+
+func syntaxProblem(file string, err error) Problem {
+	var d *toml.DecodeError
+	if !errors.As(err, &d) {
+		return Problem{Position: Position{File: file}, Text: err.Error()}
+	}
+	line, _ := d.Position()
+	return Problem{
+		Position: Position{File: file, Line: line},
+		Path:     strings.Join(d.Key(), "."),
+		Text:     d.Error(),
+	}
+}
+
+// walker turns expressions into entries. The syntax is known to be right.
+type walker struct {
+	file     string
+	parser   unstable.Parser
+	table    []string
+	entries  []Entry
+	problems Problems
+}
+
+func (w *walker) expression(n *unstable.Node) {
+	switch n.Kind {
+	case unstable.Table:
+		w.table, _ = w.key(n)
+	case unstable.ArrayTable:
+		path, at := w.key(n)
+		w.table = path
+		w.reject(at, path, "lists of tables are not used here")
+	case unstable.KeyValue:
+		w.pair(w.table, n)
+	}
+}
+
+func (w *walker) key(n *unstable.Node) ([]string, Position) {
+	var path []string
+	at := Position{File: w.file}
+	it := n.Key()
+	for it.Next() {
+		k := it.Node()
+		if at.Line == 0 {
+			at.Line = w.parser.Shape(k.Raw).Start.Line
+		}
+		path = append(path, string(k.Data))
+	}
+	return path, at
+}
+
+func (w *walker) pair(prefix []string, n *unstable.Node) {
+	key, at := w.key(n)
+	path := append(append([]string{}, prefix...), key...)
+	v := n.Value()
+	switch v.Kind {
+	case unstable.InlineTable:
+		it := v.Children()
+		for it.Next() {
+			w.pair(path, it.Node())
+		}
+	case unstable.Array:
+		w.list(path, at, v)
+	default:
+		w.entries = append(w.entries, Entry{Path: path, Kind: kindOf(v.Kind), Text: string(v.Data), Position: at})
+	}
+}
+
+func (w *walker) list(path []string, at Position, v *unstable.Node) {
+	e := Entry{Path: path, Kind: KindList, Position: at}
+	it := v.Children()
+	for it.Next() {
+		c := it.Node()
+		if c.Kind == unstable.Comment {
+			continue
+		}
+		if c.Kind != unstable.String {
+			w.reject(at, path, "a list holds strings only")
+			return
+		}
+		e.List = append(e.List, string(c.Data))
+	}
+	w.entries = append(w.entries, e)
+}
+
+func (w *walker) reject(at Position, path []string, text string) {
+	w.problems = append(w.problems, Problem{Position: at, Path: strings.Join(path, "."), Text: text})
+}
+
+func kindOf(k unstable.Kind) Kind {
+	switch k {
+	case unstable.Integer, unstable.Float:
+		return KindNumber
+	case unstable.Bool:
+		return KindBool
+	}
+	return KindText
+}
--- /dev/null
+++ b/internal/version/planner/plan.go
@@ -0,0 +1,100 @@
+package planner
+
+import (
+	"encoding/json"
+	"slices"
+	"strings"
+
+	"github.com/rotisserie/eris"
+
+	"github.com/gullvale/gullvale/internal/version/resolver"
+	"github.com/gullvale/gullvale/pkg/leaser"
+	"github.com/gullvale/gullvale/pkg/recorder"
+	"github.com/gullvale/gullvale/pkg/registrar"
+	"github.com/gullvale/gullvale/pkg/sharer"
+	"github.com/gullvale/gullvale/pkg/timekeeper"
+)
+
+// ObjectName is the name of the object that holds the plan.
+const ObjectName = "Plan/Current"
+
+type (
+	// Number numbers plans. It only grows.
+	Number uint64
+
+	// Plan says, for each service and origin, how traffic divides among sites.
+	Plan struct {
+		Number   Number
+		Fence    leaser.Fence
+		Settings recorder.Number
+		AtMillis timekeeper.Millis
+		Routes   []Route
+		// Holds says, for people, why a move waits.
+		Holds []Hold `json:",omitempty"`
+	}
+
+	// Route is the division of one origin's requests for one service.
+	Route struct {
+		Service  resolver.ServiceName
+		Origin   registrar.Site
+		Division sharer.Division
+	}
+
+	// Hold is a move that waits.
+	Hold struct {
+		Service resolver.ServiceName
+		Origin  registrar.Site
+		Reason  string
+	}
+
+	// key names a route.
+	key struct {
+		service resolver.ServiceName
+		origin  registrar.Site
+	}
+)
+
+// Decode reads a plan object.
+func Decode(body []byte) (Plan, error) {
+	var p Plan
+	if err := json.Unmarshal(body, &p); err != nil {
+		return p, eris.Wrap(err, "plan")
+	}
+	return p, nil
+}
+
+// Encode writes a plan object.
+func (p Plan) Encode() ([]byte, error) {
+	return json.Marshal(p)
+}
+
+// Route returns the division for a service and origin.
+func (p Plan) Route(s resolver.ServiceName, origin registrar.Site) (sharer.Division, bool) {
+	i, ok := slices.BinarySearchFunc(p.Routes, key{s, origin}, func(r Route, k key) int {
+		return compareKeys(key{r.Service, r.Origin}, k)
+	})
+	if !ok {
+		return nil, false
+	}
+	return p.Routes[i].Division, true
+}
+
+func (p *Plan) sort() {
+	slices.SortFunc(p.Routes, func(a, b Route) int {
+		return compareKeys(key{a.Service, a.Origin}, key{b.Service, b.Origin})
+	})
+}
+
+func compareKeys(a, b key) int {
+	if c := strings.Compare(string(a.service), string(b.service)); c != 0 {
+		return c
+	}
+	return strings.Compare(string(a.origin), string(b.origin))
+}
+
+// sameRoutes tells whether two plans steer alike.
+func sameRoutes(a, b Plan) bool {
+	return slices.EqualFunc(a.Routes, b.Routes, func(x, y Route) bool {
+		return x.Service == y.Service && x.Origin == y.Origin && slices.Equal(x.Division, y.Division)
+	})
+}
--- /dev/null
+++ b/internal/version/replicator/replica.go
@@ -0,0 +1,119 @@
+package replicator
+
+import (
+	"slices"
+	"strings"
+	"sync"
+
+	"github.com/gullvale/gullvale/pkg/storer"
+)
+
+// Replica is a copy of the objects under some prefixes. The zero value is
+// empty. It is safe for concurrent use.
+type Replica struct {
+	// Changed is told, in order, of the objects that are new. It runs under no
+	// lock but for its own order. Nil means nobody wants to know.
+	Changed func([]storer.Object)
+
+	order sync.Mutex
+
+	lock     sync.Mutex
+	objects  map[string]storer.Object
+	revision storer.Revision
+}
+
+// Put adds a batch: all changes up to its revision. It returns the objects that
+// are new here.
+func (r *Replica) Put(b storer.Batch) []storer.Object {
+	r.order.Lock()
+	defer r.order.Unlock()
+	fresh := r.store(b)
+	if len(fresh) > 0 && r.Changed != nil {
+		r.Changed(fresh)
+	}
+	return fresh
+}
+
+func (r *Replica) store(b storer.Batch) []storer.Object {
+	r.lock.Lock()
+	defer r.lock.Unlock()
+	if r.objects == nil {
+		r.objects = map[string]storer.Object{}
+	}
+	var fresh []storer.Object
+	for _, o := range b.Objects {
+		if o.Revision > r.objects[o.Name].Revision {
+			r.objects[o.Name] = o
+			fresh = append(fresh, o)
+		}
+	}
+	r.revision = max(r.revision, b.Revision)
+	sortByRevision(fresh)
+	return fresh
+}
+
+// Revision is up to where the copy is complete.
+func (r *Replica) Revision() storer.Revision {
+	r.lock.Lock()
+	defer r.lock.Unlock()
+	return r.revision
+}
+
+// Since returns the objects behind a revision, in order of revision.
+func (r *Replica) Since(since storer.Revision) storer.Batch {
+	r.lock.Lock()
+	defer r.lock.Unlock()
+	b := storer.Batch{Revision: r.revision}
+	for _, o := range r.objects {
+		if o.Revision > since {
+			b.Objects = append(b.Objects, o)
+		}
+	}
+	sortByRevision(b.Objects)
+	return b
+}
+
+// Get returns one object.
+func (r *Replica) Get(name string) (storer.Object, bool) {
+	r.lock.Lock()
+	defer r.lock.Unlock()
+	o, ok := r.objects[name]
+	return o, ok
+}
+
+// Under returns the objects under a prefix, in order of name.
+func (r *Replica) Under(prefix string) []storer.Object {
+	r.lock.Lock()
+	defer r.lock.Unlock()
+	var out []storer.Object
+	for n, o := range r.objects {
+		if strings.HasPrefix(n, prefix) {
+			out = append(out, o)
+		}
+	}
+	slices.SortFunc(out, func(a, b storer.Object) int { return strings.Compare(a.Name, b.Name) })
+	return out
+}
+
+// Forget drops objects for which old returns true.
+func (r *Replica) Forget(old func(name string) bool) {
+	r.lock.Lock()
+	defer r.lock.Unlock()
+	for n := range r.objects {
+		if old(n) {
+			delete(r.objects, n)
+		}
+	}
+}
+
+func sortByRevision(list []storer.Object) {
+	slices.SortFunc(list, func(a, b storer.Object) int {
+		switch {
+		case a.Revision < b.Revision:
+			return -1
+		case a.Revision > b.Revision:
+			return 1
+		}
+		return 0
+	})
+}
--- /dev/null
+++ b/internal/version/resolver/key.go
@@ -0,0 +1,295 @@
+package resolver
+
+import (
+	"fmt"
+	"net/netip"
+	"slices"
+	"strconv"
+	"strings"
+	"time"
+
+	"github.com/gullvale/gullvale/internal/version/parser"
+	"github.com/gullvale/gullvale/pkg/timekeeper"
+)
+
+// The settings of the tree.
+const (
+	KeyUpstreams         Key = "Upstreams"
+	KeySlots             Key = "Slots"
+	KeyClass             Key = "Class"
+	KeyLimit             Key = "Limit"
+	KeyDeadline          Key = "DeadlineMillis"
+	KeyMaxBody           Key = "MaxBodyBytes"
+	KeyQueueLength       Key = "QueueLength"
+	KeyLookupLifetime    Key = "LookupLifetimeMillis"
+	KeyEntries           Key = "Entries"
+	KeyHosts             Key = "Hosts"
+	KeyIdempotentMethods Key = "IdempotentMethods"
+	KeyRefusalHeader     Key = "RefusalHeader"
+	KeyDrainHeader       Key = "DrainHeader"
+	KeyProbePath         Key = "ProbePath"
+	KeyProbeInterval     Key = "ProbeIntervalMillis"
+	KeyRetryBudget       Key = "RetryBudget"
+	KeyDrain             Key = "Drain"
+	KeyDrainUntil        Key = "DrainUntil"
+	KeyMoveCap           Key = "MoveCap"
+	KeyShiftTo           Key = "ShiftTo"
+	KeyShiftShare        Key = "ShiftShare"
+	KeyShiftCap          Key = "ShiftCap"
+	KeyBlockTable        Key = "BlockTable"
+)
+
+const (
+	atRoot level = 1 << iota
+	atRegion
+	atDomain
+	atService
+	atRegionService
+	atDomainService
+
+	anywhere = atRoot | atRegion | atDomain | atService | atRegionService | atDomainService
+	places   = atRoot | atRegion | atDomain
+)
+
+const (
+	asCount form = iota
+	asBool
+	asText
+	asPercent
+	asRate
+	asTime
+	asAddresses
+	asWords
+	asClass
+)
+
+// shiftPrefix starts the keys that make up one shift and change together.
+const shiftPrefix = "Shift"
+
+var levelNames = []struct {
+	level level
+	name  string
+}{
+	{atRoot, "the root"},
+	{atRegion, "a region"},
+	{atDomain, "a failure domain"},
+	{atService, "a service"},
+	{atRegionService, "a service in a region"},
+	{atDomainService, "a service in a failure domain"},
+}
+
+// definitions is every setting of the tree, in the order in which people read
+// them.
+var definitions = []Definition{
+	{Key: KeyUpstreams, form: asAddresses, levels: atDomainService, Help: "addresses of the servers of the service at the site"},
+	{Key: KeySlots, form: asCount, levels: anywhere, Default: "4", min: 1, max: 100000, Help: "requests that one upstream serves at the same time"},
+	{Key: KeyClass, form: asClass, levels: anywhere, Default: Value(ClassShort), Help: "short (answers of a few KB) or export (long streams)"},
+	{Key: KeyLimit, form: asPercent, levels: anywhere, Default: "85%", max: 100, Help: "part of the slots that the plan may fill"},
+	{Key: KeyDeadline, form: asCount, levels: anywhere, Default: "10000", max: 24 * 3600 * 1000, Help: "longest time for a request whose caller names none; 0 is no limit"},
+	{Key: KeyMaxBody, form: asCount, levels: anywhere, Default: "16777216", max: 1 << 40, Help: "largest body of a request in bytes"},
+	{Key: KeyQueueLength, form: asCount, levels: anywhere, Default: "64", max: 100000, Help: "requests that wait at one owner; more are refused"},
+	{Key: KeyLookupLifetime, form: asCount, levels: anywhere, Default: "2000", min: 100, max: 3600 * 1000, Help: "how long callers keep the answer to a look-up"},
+	{Key: KeyEntries, form: asCount, levels: anywhere, Default: "3", min: 1, max: 16, Help: "entries named in the answer to a look-up"},
+	{Key: KeyHosts, form: asWords, levels: atService, Help: "values of the Host header that name the service"},
+	{Key: KeyIdempotentMethods, form: asWords, levels: anywhere, Default: "GET,HEAD,OPTIONS", Help: "methods that may run twice without harm"},
+	{Key: KeyRefusalHeader, form: asText, levels: anywhere, Default: "X-Not-Run", Help: "header by which an upstream says that it did not run a request"},
+	{Key: KeyDrainHeader, form: asText, levels: anywhere, Default: "X-Draining", Help: "header by which an upstream says that it is leaving"},
+	{Key: KeyProbePath, form: asText, levels: anywhere, Default: "/health", Help: "path that the owner of an upstream probes"},
+	{Key: KeyProbeInterval, form: asCount, levels: anywhere, Default: "2000", min: 100, max: 3600 * 1000, Help: "time between two probes of an upstream"},
+	{Key: KeyRetryBudget, form: asPercent, levels: anywhere, Default: "10%", max: 100, Help: "retries allowed, in per cent of first tries"},
+	{Key: KeyDrain, form: asBool, levels: anywhere, Default: "false", Help: "move all traffic away; true at any level above counts"},
+	{Key: KeyDrainUntil, form: asTime, levels: anywhere, Help: "when the drain at the same level ends by itself"},
+	{Key: KeyMoveCap, form: asRate, levels: anywhere, Default: "600%/min", max: 60000, Help: "how fast traffic moves when no shift caps it"},
+	{Key: KeyShiftTo, form: asText, levels: atRegionService, Help: "region that takes a part of the traffic of this one"},
+	{Key: KeyShiftShare, form: asPercent, levels: atRegionService, max: 100, Help: "part of the region's traffic that the shift moves"},
+	{Key: KeyShiftCap, form: asRate, levels: atRegionService, max: 60000, Help: "how fast the shift moves traffic, in per cent of the region's traffic a minute"},
+	{Key: KeyBlockTable, form: asText, levels: atRoot, Help: "name of the table that maps client blocks to failure domains"},
+}
+
+var byKey = indexDefinitions()
+
+type (
+	// Key names a setting.
+	Key string
+
+	// Value is a setting's value in its canonical text: "6", "true", "30%",
+	// "5%/min", "a,b".
+	Value string
+
+	// Class says what kind of answers a service gives.
+	Class string
+
+	// Definition describes one setting.
+	Definition struct {
+		Key     Key
+		Default Value
+		Help    string
+
+		form     form
+		levels   level
+		min, max int64
+	}
+
+	form  uint8
+	level uint8
+)
+
+// The classes, in the order in which overload gives way: export first.
+const (
+	ClassShort  Class = "short"
+	ClassExport Class = "export"
+)
+
+// Definitions returns every setting of the tree.
+func Definitions() []Definition {
+	return slices.Clone(definitions)
+}
+
+func indexDefinitions() map[Key]Definition {
+	m := map[Key]Definition{}
+	for _, d := range definitions {
+		m[d.Key] = d
+	}
+	return m
+}
+
+func (p Path) level() level {
+	switch {
+	case p.Service != "" && p.Domain != "":
+		return atDomainService
+	case p.Service != "" && p.Region != "":
+		return atRegionService
+	case p.Service != "":
+		return atService
+	case p.Domain != "":
+		return atDomain
+	case p.Region != "":
+		return atRegion
+	}
+	return atRoot
+}
+
+// normalize checks text against the definition and returns its canonical form.
+func (d Definition) normalize(text string) (Value, error) {
+	text = strings.TrimSpace(text)
+	switch d.form {
+	case asCount:
+		return d.count(text)
+	case asBool:
+		b, err := strconv.ParseBool(text)
+		if err != nil {
+			return "", fmt.Errorf("%q is neither true nor false", text)
+		}
+		return Value(strconv.FormatBool(b)), nil
+	case asPercent:
+		return d.percent(text, "%")
+	case asRate:
+		return d.percent(text, "%/min")
+	case asTime:
+		t, err := time.Parse(time.RFC3339, text)
+		if err != nil {
+			return "", fmt.Errorf("%q is not a time such as 2026-12-02T18:00:00Z", text)
+		}
+		return Value(t.UTC().Format(time.RFC3339)), nil
+	case asAddresses:
+		return addresses(text)
+	case asWords:
+		return Value(strings.Join(split(text), ",")), nil
+	case asClass:
+		if c := Class(text); c != ClassShort && c != ClassExport {
+			return "", fmt.Errorf("%q is neither %s nor %s", text, ClassShort, ClassExport)
+		}
+	}
+	if text == "" {
+		return "", fmt.Errorf("is empty; unset it instead")
+	}
+	return Value(text), nil
+}
+
+func (d Definition) count(text string) (Value, error) {
+	n, err := strconv.ParseInt(strings.ReplaceAll(text, "_", ""), 10, 64)
+	if err != nil {
+		return "", fmt.Errorf("%q is not a whole number", text)
+	}
+	if n < d.min || n > d.max {
+		return "", fmt.Errorf("%d is outside %d to %d", n, d.min, d.max)
+	}
+	return Value(strconv.FormatInt(n, 10)), nil
+}
+
+func (d Definition) percent(text, unit string) (Value, error) {
+	f, err := strconv.ParseFloat(strings.TrimSuffix(text, unit), 64)
+	if err != nil || !strings.HasSuffix(text, unit) {
+		return "", fmt.Errorf("%q is not a number with %q behind it", text, unit)
+	}
+	if !(f > 0 && f <= float64(d.max)) {
+		return "", fmt.Errorf("%s is outside 0%s to %d%s", text, unit, d.max, unit)
+	}
+	return Value(strconv.FormatFloat(f, 'g', -1, 64) + unit), nil
+}
+
+func addresses(text string) (Value, error) {
+	seen := map[string]bool{}
+	list := split(text)
+	for _, a := range list {
+		if _, err := netip.ParseAddrPort(a); err != nil {
+			return "", fmt.Errorf("%q is not an IP number with a port", a)
+		}
+		if seen[a] {
+			return "", fmt.Errorf("%q stands twice", a)
+		}
+		seen[a] = true
+	}
+	return Value(strings.Join(list, ",")), nil
+}
+
+func split(text string) []string {
+	return strings.FieldsFunc(text, func(r rune) bool { return r == ',' || r == ' ' })
+}
+
+// groupOf returns the name under which a key races with others at its path.
+func groupOf(k Key) string {
+	switch {
+	case strings.HasPrefix(string(k), shiftPrefix):
+		return shiftPrefix
+	case k == KeyDrainUntil:
+		return string(KeyDrain)
+	}
+	return string(k)
+}
+
+func (v Value) int() int64 {
+	n, _ := strconv.ParseInt(string(v), 10, 64)
+	return n
+}
+
+func (v Value) fraction() float64 {
+	s, _, _ := strings.Cut(string(v), "%")
+	f, _ := strconv.ParseFloat(s, 64)
+	return f / 100
+}
+
+func (v Value) list() []string {
+	return split(string(v))
+}
+
+func (v Value) millis() timekeeper.Millis {
+	t, err := time.Parse(time.RFC3339, string(v))
+	if err != nil {
+		return 0
+	}
+	return timekeeper.Millis(t.UnixMilli())
+}
+
+// kindOf returns the TOML kind by which a value of d is written.
+func (d Definition) kindOf() parser.Kind {
+	switch d.form {
+	case asCount:
+		return parser.KindNumber
+	case asBool:
+		return parser.KindBool
+	case asAddresses, asWords:
+		return parser.KindList
+	}
+	return parser.KindText
+}
--- /dev/null
+++ b/internal/version/resolver/path.go
@@ -0,0 +1,100 @@
+package resolver
+
+import (
+	"regexp"
+	"strings"
+
+	"github.com/rotisserie/eris"
+)
+
+var namePattern = regexp.MustCompile(`^[a-z][a-z0-9-]{0,39}$`)
+
+type (
+	// ServiceName names a service.
+	ServiceName string
+
+	// Path names a node of the tree. The zero value is the root. Service may
+	// be set at any level and then speaks of that service beneath the level.
+	Path struct {
+		Region  string
+		Domain  string
+		Service ServiceName
+	}
+)
+
+// ParsePath reads "", "/", "region", "region/domain", and each of these with
+// ":service" behind it.
+func ParsePath(s string) (Path, error) {
+	place, service, named := strings.Cut(s, ":")
+	place = strings.Trim(place, "/")
+	var p Path
+	if place != "" {
+		p.Region, p.Domain, _ = strings.Cut(place, "/")
+	}
+	p.Service = ServiceName(service)
+	if named && service == "" {
+		return p, eris.Errorf("path %q: no service behind the colon", s)
+	}
+	return p, p.check(s)
+}
+
+func (p Path) check(s string) error {
+	for _, n := range []string{p.Region, p.Domain, string(p.Service)} {
+		if n != "" && !namePattern.MatchString(n) {
+			return eris.Errorf("path %q: %q is not a name (a-z, 0-9 and '-', at most 40)", s, n)
+		}
+	}
+	return nil
+}
+
+// String prints p so that ParsePath reads it; the root is "/".
+func (p Path) String() string {
+	s := p.Region
+	if p.Domain != "" {
+		s += "/" + p.Domain
+	}
+	if s == "" {
+		s = "/"
+	}
+	if p.Service != "" {
+		return strings.TrimPrefix(s, "/") + ":" + string(p.Service)
+	}
+	return s
+}
+
+// place returns p without its service.
+func (p Path) place() Path {
+	p.Service = ""
+	return p
+}
+
+// parents lists the nodes from which p takes values, the nearest first. A node
+// that names the service is nearer than any that does not; among each kind the
+// deeper is nearer.
+func (p Path) parents() []Path {
+	var out []Path
+	if p.Service != "" {
+		out = append(out, p.up()...)
+	}
+	return append(out, p.place().up()...)
+}
+
+func (p Path) up() []Path {
+	out := []Path{p}
+	if p.Domain != "" {
+		p.Domain = ""
+		out = append(out, p)
+	}
+	if p.Region != "" {
+		p.Region = ""
+		out = append(out, p)
+	}
+	return out
+}
+
+// Covers tells whether a setting at p can reach q or what lies beneath it.
+func (p Path) Covers(q Path) bool {
+	return (p.Region == "" || p.Region == q.Region) &&
+		(p.Domain == "" || p.Domain == q.Domain) &&
+		(p.Service == "" || p.Service == q.Service)
+}
--- /dev/null
+++ b/internal/version/resolver/resolved.go
@@ -0,0 +1,206 @@
+package resolver
+
+import (
+	"maps"
+	"slices"
+
+	"github.com/gullvale/gullvale/pkg/registrar"
+	"github.com/gullvale/gullvale/pkg/timekeeper"
+)
+
+type (
+	// Service is the effective settings of one service at one site. Sites
+	// without upstreams have them too, since callers reach entries there.
+	Service struct {
+		Name              ServiceName
+		Site              registrar.Site
+		Upstreams         []string
+		Slots             int
+		Class             Class
+		Limit             float64
+		Deadline          timekeeper.Millis
+		MaxBody           int64
+		QueueLength       int
+		LookupLifetime    timekeeper.Millis
+		Entries           int
+		IdempotentMethods []string
+		RefusalHeader     string
+		DrainHeader       string
+		ProbePath         string
+		ProbeInterval     timekeeper.Millis
+		RetryBudget       float64
+		// MoveCap is the part of the traffic that may move in a minute.
+		MoveCap float64
+		// Drained tells that this level or one above is drained, until the
+		// wall time DrainedUntil when that is not 0.
+		Drained      bool
+		DrainedUntil timekeeper.Millis
+	}
+
+	// Shift is traffic that an operator moves between regions.
+	Shift struct {
+		Service ServiceName
+		From    string
+		To      string
+		Share   float64
+		// Cap is the part of the traffic that may move in a minute.
+		Cap float64
+	}
+
+	// Resolved is a whole tree with every value inherited. It is never
+	// changed after Resolve.
+	Resolved struct {
+		Services   []ServiceName
+		Sites      []registrar.Site
+		Shifts     []Shift
+		BlockTable string
+
+		at    map[registrar.Site]map[ServiceName]*Service
+		hosts map[string]ServiceName
+	}
+)
+
+// Resolve works out the effective settings of every service at every site that
+// the tree names.
+func (t Tree) Resolve() *Resolved {
+	r := &Resolved{
+		at:    map[registrar.Site]map[ServiceName]*Service{},
+		hosts: map[string]ServiceName{},
+	}
+	r.Services, r.Sites = t.names()
+	for _, s := range r.Sites {
+		r.at[s] = map[ServiceName]*Service{}
+		for _, n := range r.Services {
+			r.at[s][n] = t.service(s, n)
+		}
+	}
+	for _, p := range t.Paths() {
+		for _, h := range t.nodes[p][KeyHosts].list() {
+			r.hosts[h] = p.Service
+		}
+		if to, ok := t.nodes[p][KeyShiftTo]; ok {
+			r.Shifts = append(r.Shifts, t.shift(p, string(to)))
+		}
+	}
+	v, _ := t.lookup(Path{}, KeyBlockTable)
+	r.BlockTable = string(v)
+	return r
+}
+
+func (t Tree) names() ([]ServiceName, []registrar.Site) {
+	services := map[ServiceName]bool{}
+	sites := map[registrar.Site]bool{}
+	for p := range t.nodes {
+		if p.Service != "" {
+			services[p.Service] = true
+		}
+		if p.Domain != "" {
+			sites[SiteOf(p)] = true
+		}
+	}
+	return slices.Sorted(maps.Keys(services)), slices.Sorted(maps.Keys(sites))
+}
+
+// SiteOf returns the site of a path that names a failure domain.
+func SiteOf(p Path) registrar.Site {
+	return registrar.Site(p.Region + "/" + p.Domain)
+}
+
+// PathOf returns the path of site, and of a service there when one is named.
+func PathOf(s registrar.Site, n ServiceName) Path {
+	return Path{Region: s.Region(), Domain: s.Domain(), Service: n}
+}
+
+func (t Tree) shift(p Path, to string) Shift {
+	n := t.nodes[p]
+	return Shift{
+		Service: p.Service,
+		From:    p.Region,
+		To:      to,
+		Share:   n[KeyShiftShare].fraction(),
+		Cap:     n[KeyShiftCap].fraction(),
+	}
+}
+
+func (t Tree) service(site registrar.Site, name ServiceName) *Service {
+	p := PathOf(site, name)
+	get := func(k Key) Value {
+		v, _ := t.lookup(p, k)
+		return v
+	}
+	s := &Service{
+		Name:              name,
+		Site:              site,
+		Upstreams:         t.nodes[p][KeyUpstreams].list(),
+		Slots:             int(get(KeySlots).int()),
+		Class:             Class(get(KeyClass)),
+		Limit:             get(KeyLimit).fraction(),
+		Deadline:          timekeeper.Millis(get(KeyDeadline).int()),
+		MaxBody:           get(KeyMaxBody).int(),
+		QueueLength:       int(get(KeyQueueLength).int()),
+		LookupLifetime:    timekeeper.Millis(get(KeyLookupLifetime).int()),
+		Entries:           int(get(KeyEntries).int()),
+		IdempotentMethods: get(KeyIdempotentMethods).list(),
+		RefusalHeader:     string(get(KeyRefusalHeader)),
+		DrainHeader:       string(get(KeyDrainHeader)),
+		ProbePath:         string(get(KeyProbePath)),
+		ProbeInterval:     timekeeper.Millis(get(KeyProbeInterval).int()),
+		RetryBudget:       get(KeyRetryBudget).fraction(),
+		MoveCap:           get(KeyMoveCap).fraction(),
+	}
+	s.Drained, s.DrainedUntil = t.drained(p)
+	return s
+}
+
+// drained looks at every level above p. A drain further up is not lifted by
+// "Drain = false" beneath it: whoever drains a region means all of it.
+func (t Tree) drained(p Path) (bool, timekeeper.Millis) {
+	var drained bool
+	var until timekeeper.Millis
+	for _, q := range p.parents() {
+		n := t.nodes[q]
+		if n[KeyDrain] != "true" {
+			continue
+		}
+		end := n[KeyDrainUntil].millis()
+		if end == 0 {
+			return true, 0
+		}
+		drained = true
+		until = max(until, end)
+	}
+	return drained, until
+}
+
+// DrainedAt tells whether the service is drained at wall time now.
+func (s *Service) DrainedAt(now timekeeper.Millis) bool {
+	return s.Drained && (s.DrainedUntil == 0 || now < s.DrainedUntil)
+}
+
+// Idempotent tells whether a request with method may run twice.
+func (s *Service) Idempotent(method string) bool {
+	return slices.Contains(s.IdempotentMethods, method)
+}
+
+// Capacity returns how many requests the upstreams of s serve at once.
+func (s *Service) Capacity() int {
+	return len(s.Upstreams) * s.Slots
+}
+
+// At returns the settings of a service at a site, or nil when the tree names
+// one of them nowhere.
+func (r *Resolved) At(site registrar.Site, name ServiceName) *Service {
+	return r.at[site][name]
+}
+
+// Knows tells whether the tree names the service.
+func (r *Resolved) Knows(name ServiceName) bool {
+	_, ok := slices.BinarySearch(r.Services, name)
+	return ok
+}
+
+// ByHost returns the service that a Host header names.
+func (r *Resolved) ByHost(host string) (ServiceName, bool) {
+	n, ok := r.hosts[host]
+	return n, ok
+}
--- /dev/null
+++ b/internal/version/steerer/snapshot.go
@@ -0,0 +1,205 @@
+package steerer
+
+import (
+	"encoding/json"
+	"net/netip"
+
+	"github.com/rotisserie/eris"
+
+	"github.com/gullvale/gullvale/internal/version/locator"
+	"github.com/gullvale/gullvale/internal/version/planner"
+	"github.com/gullvale/gullvale/internal/version/resolver"
+	"github.com/gullvale/gullvale/pkg/hasher"
+	"github.com/gullvale/gullvale/pkg/recorder"
+	"github.com/gullvale/gullvale/pkg/registrar"
+	"github.com/gullvale/gullvale/pkg/sharer"
+	"github.com/gullvale/gullvale/pkg/timekeeper"
+)
+
+type (
+	// Parts is what a snapshot is built from.
+	Parts struct {
+		Settings *resolver.Resolved
+		Number   recorder.Number
+		Plan     planner.Plan
+		View     *registrar.View
+		Table    *locator.Table
+		// Home is the site of this daemon. Callers outside all blocks count
+		// as its own.
+		Home registrar.Site
+		// Wall is when the snapshot is built. Without a plan it tells which
+		// drains have ended.
+		Wall timekeeper.Millis
+	}
+
+	// Snapshot is one version of everything that steers.
+	Snapshot struct {
+		Parts
+		routes  map[routeKey]*route
+		answers map[answerKey][][]byte
+	}
+
+	// Answer is the answer to a look-up.
+	Answer struct {
+		Service resolver.ServiceName
+		Site    registrar.Site
+		// Entries are the daemons to ask, in order.
+		Entries        []Entry
+		LifetimeMillis timekeeper.Millis
+		Settings       recorder.Number
+		Plan           planner.Number
+	}
+
+	// Entry is one daemon in an answer.
+	Entry struct {
+		Address     string
+		Incarnation registrar.Incarnation
+	}
+
+	routeKey struct {
+		service resolver.ServiceName
+		origin  registrar.Site
+	}
+
+	answerKey struct {
+		service resolver.ServiceName
+		site    registrar.Site
+	}
+
+	// route maps keys to sites. answers is indexed like the chooser's sites.
+	route struct {
+		hash    hasher.Hash
+		chooser sharer.Chooser
+		sites   []registrar.Site
+		answers [][][]byte
+	}
+)
+
+// Build makes a snapshot.
+func Build(p Parts) (*Snapshot, error) {
+	s := &Snapshot{Parts: p, routes: map[routeKey]*route{}, answers: map[answerKey][][]byte{}}
+	for _, service := range p.Settings.Services {
+		for _, origin := range p.Settings.Sites {
+			if err := s.addRoute(service, origin); err != nil {
+				return nil, err
+			}
+		}
+	}
+	return s, nil
+}
+
+func (s *Snapshot) addRoute(service resolver.ServiceName, origin registrar.Site) error {
+	d, ok := s.Plan.Route(service, origin)
+	if !ok {
+		d = planner.Target(s.Settings, service, origin, s.Wall)
+	}
+	r := &route{hash: hasher.OfString(string(service)), chooser: sharer.NewChooser(d)}
+	for _, name := range r.chooser.Sites() {
+		site := registrar.Site(name)
+		a, err := s.answersFor(service, site)
+		if err != nil {
+			return err
+		}
+		r.sites = append(r.sites, site)
+		r.answers = append(r.answers, a)
+	}
+	s.routes[routeKey{service, origin}] = r
+	return nil
+}
+
+// answersFor renders the answers for a site once: one for each entry that may
+// come first, so that blocks spread over the entries.
+func (s *Snapshot) answersFor(service resolver.ServiceName, site registrar.Site) ([][]byte, error) {
+	k := answerKey{service, site}
+	if a, ok := s.answers[k]; ok {
+		return a, nil
+	}
+	members := s.View.Serving(site)
+	set := s.Settings.At(site, service)
+	if set == nil {
+		return nil, nil
+	}
+	var out [][]byte
+	for first := range members {
+		b, err := s.render(set, members, first)
+		if err != nil {
+			return nil, err
+		}
+		out = append(out, b)
+	}
+	s.answers[k] = out
+	return out, nil
+}
+
+func (s *Snapshot) render(set *resolver.Service, members []registrar.Member, first int) ([]byte, error) {
+	a := Answer{
+		Service:        set.Name,
+		Site:           set.Site,
+		LifetimeMillis: set.LookupLifetime,
+		Settings:       s.Number,
+		Plan:           s.Plan.Number,
+	}
+	for i := range members {
+		m := members[(first+i)%len(members)]
+		a.Entries = append(a.Entries, Entry{Address: m.Callers, Incarnation: m.Incarnation})
+	}
+	a.Entries = append(a.Entries, s.spares(set.Site, members)...)
+	a.Entries = a.Entries[:min(len(a.Entries), set.Entries)]
+	b, err := json.Marshal(a)
+	return b, eris.Wrap(err, "render look-up answer")
+}
+
+// spares are the other entries of the region, for when all of a site are lost.
+func (s *Snapshot) spares(site registrar.Site, members []registrar.Member) []Entry {
+	used := map[registrar.Incarnation]bool{}
+	for _, m := range members {
+		used[m.Incarnation] = true
+	}
+	var out []Entry
+	for _, m := range s.View.Members() {
+		if m.Site.Region() == site.Region() && !m.Leaving && !used[m.Incarnation] {
+			out = append(out, Entry{Address: m.Callers, Incarnation: m.Incarnation})
+		}
+	}
+	return out
+}
+
+// Find returns the block of an address. An address outside all blocks belongs
+// to the home of this daemon.
+func (s *Snapshot) Find(a netip.Addr) locator.Block {
+	b := s.Table.Find(a)
+	if b.Origin == "" {
+		b.Origin = s.Home
+	}
+	return b
+}
+
+// Site returns where a request from a block for a service is to run, "" when
+// no site takes the service. It does not allocate.
+func (s *Snapshot) Site(service resolver.ServiceName, b locator.Block) registrar.Site {
+	r := s.routes[routeKey{service, b.Origin}]
+	if r == nil {
+		return ""
+	}
+	i := r.chooser.Index(hasher.Mix(b.Hash, r.hash))
+	if i < 0 {
+		return ""
+	}
+	return r.sites[i]
+}
+
+// Answer returns the rendered answer to a look-up, nil when there is no entry.
+// It does not allocate; the caller must not change the bytes.
+func (s *Snapshot) Answer(service resolver.ServiceName, b locator.Block) []byte {
+	r := s.routes[routeKey{service, b.Origin}]
+	if r == nil {
+		return nil
+	}
+	h := hasher.Mix(b.Hash, r.hash)
+	i := r.chooser.Index(h)
+	if i < 0 || len(r.answers[i]) == 0 {
+		return nil
+	}
+	all := r.answers[i]
+	return all[uint64(h)%uint64(len(all))]
+}
--- /dev/null
+++ b/pkg/sharer/division.go
@@ -0,0 +1,185 @@
+package sharer
+
+import (
+	"slices"
+	"strings"
+
+	"github.com/gullvale/gullvale/pkg/hasher"
+)
+
+// Whole is the share that stands for everything.
+const Whole Share = 1 << 20
+
+type (
+	// Share is a fraction in fixed point: Whole is 1.
+	Share uint32
+
+	// Part gives one site its share.
+	Part struct {
+		Site  string
+		Share Share
+	}
+
+	// Division is a set of parts in order of site whose shares add to Whole.
+	Division []Part
+
+	// Chooser maps keys to the sites of a division. Build it with NewChooser;
+	// the zero value knows no site.
+	Chooser struct {
+		sites   []string
+		hashes  []hasher.Hash
+		weights []float64
+	}
+)
+
+// Fraction returns s as a number from 0 to 1.
+func (s Share) Fraction() float64 {
+	return float64(s) / float64(Whole)
+}
+
+// FromFraction rounds f, clamped to 0 and 1, to a share.
+func FromFraction(f float64) Share {
+	return Share(min(max(f, 0), 1)*float64(Whole) + 0.5)
+}
+
+// Of returns the share of site, 0 when it has none.
+func (d Division) Of(site string) Share {
+	for _, p := range d {
+		if p.Site == site {
+			return p.Share
+		}
+	}
+	return 0
+}
+
+// Total adds the shares of d.
+func (d Division) Total() Share {
+	var t Share
+	for _, p := range d {
+		t += p.Share
+	}
+	return t
+}
+
+// Proportional divides Whole by weights, which need not add to anything. The
+// remainder of rounding goes to the largest part, so the total is exact. It
+// returns nil when no weight is positive.
+func Proportional[S ~string](weights map[S]float64) Division {
+	var sum float64
+	for _, w := range weights {
+		sum += max(w, 0)
+	}
+	if sum <= 0 {
+		return nil
+	}
+	var d Division
+	for s, w := range weights {
+		if w > 0 {
+			d = append(d, Part{Site: string(s), Share: Share(w / sum * float64(Whole))})
+		}
+	}
+	d.sort()
+	d.settle()
+	return d
+}
+
+// Distance returns the share that differs between d and e: the part of all
+// keys that must move to get from one to the other.
+func (d Division) Distance(e Division) Share {
+	var up Share
+	for _, p := range e {
+		if o := d.Of(p.Site); p.Share > o {
+			up += p.Share - o
+		}
+	}
+	return up
+}
+
+// Toward returns d moved towards target by at most step.
+func (d Division) Toward(target Division, step Share) Division {
+	far := d.Distance(target)
+	if far <= step {
+		return slices.Clone(target)
+	}
+	f := float64(step) / float64(far)
+	w := map[string]Share{}
+	for _, p := range d {
+		w[p.Site] = p.Share
+	}
+	for _, p := range target {
+		if _, ok := w[p.Site]; !ok {
+			w[p.Site] = 0
+		}
+	}
+	var out Division
+	for s, have := range w {
+		gap := float64(target.Of(s)) - float64(have)
+		out = append(out, Part{Site: s, Share: Share(float64(have) + gap*f)})
+	}
+	out = slices.DeleteFunc(out, func(p Part) bool { return p.Share == 0 })
+	out.sort()
+	out.settle()
+	return out
+}
+
+func (d Division) sort() {
+	slices.SortFunc(d, func(a, b Part) int { return strings.Compare(a.Site, b.Site) })
+}
+
+// settle gives the remainder of rounding down to the largest part.
+func (d Division) settle() {
+	if len(d) == 0 {
+		return
+	}
+	largest := 0
+	for i, p := range d {
+		if p.Share > d[largest].Share {
+			largest = i
+		}
+	}
+	d[largest].Share += Whole - d.Total()
+}
+
+// NewChooser prepares d for look-ups.
+func NewChooser(d Division) Chooser {
+	var c Chooser
+	for _, p := range d {
+		if p.Share == 0 {
+			continue
+		}
+		c.sites = append(c.sites, p.Site)
+		c.hashes = append(c.hashes, hasher.OfString(p.Site))
+		c.weights = append(c.weights, p.Share.Fraction())
+	}
+	return c
+}
+
+// Choose returns the site of key, or "" when the division is empty. It does
+// not allocate.
+func (c *Chooser) Choose(key hasher.Hash) string {
+	i := c.Index(key)
+	if i < 0 {
+		return ""
+	}
+	return c.sites[i]
+}
+
+// Index returns the place in Sites of the site of key, -1 when there is none.
+func (c *Chooser) Index(key hasher.Hash) int {
+	if len(c.sites) <= 1 {
+		return len(c.sites) - 1
+	}
+	best := 0
+	near := hasher.Distance(key, c.hashes[0], c.weights[0])
+	for i := 1; i < len(c.sites); i++ {
+		if d := hasher.Distance(key, c.hashes[i], c.weights[i]); d < near {
+			best, near = i, d
+		}
+	}
+	return best
+}
+
+// Sites returns the sites with a share, in order.
+func (c *Chooser) Sites() []string {
+	return c.sites
+}
--- /dev/null
+++ b/test/harness_test.go
@@ -0,0 +1,311 @@
+package integration_test
+
+import (
+	"bufio"
+	"bytes"
+	"context"
+	"encoding/json"
+	"fmt"
+	"io"
+	"net/http"
+	"os"
+	"os/exec"
+	"path/filepath"
+	"strings"
+	"sync"
+	"syscall"
+	"testing"
+	"time"
+
+	"github.com/matryer/is"
+
+	"github.com/gullvale/gullvale/internal/process/operator"
+	"github.com/gullvale/gullvale/internal/standin/platform"
+	"github.com/gullvale/gullvale/internal/standin/server"
+)
+
+const (
+	token = "a-token-of-the-tests"
+
+	// patience bounds every wait for something that must come. It is no
+	// measure: a test that runs into it has failed.
+	patience = 60 * time.Second
+	glance   = 20 * time.Millisecond
+)
+
+var binaries string
+
+type (
+	// process is one process that a test started.
+	process struct {
+		t      *testing.T
+		name   string
+		cmd    *exec.Cmd
+		lock   sync.Mutex
+		output bytes.Buffer
+		exited chan struct{}
+	}
+
+	// daemon is a gullvaled and its addresses.
+	daemon struct {
+		*process
+		callers   string
+		links     string
+		operators string
+	}
+
+	// daemonOptions is what differs between the daemons of a test.
+	daemonOptions struct {
+		name     string
+		region   string
+		domain   string
+		platform string
+		seeds    []string
+	}
+)
+
+func TestMain(m *testing.M) {
+	dir, err := os.MkdirTemp("", "gullvale-test")
+	if err != nil {
+		fmt.Fprintln(os.Stderr, err)
+		os.Exit(1)
+	}
+	binaries = dir
+	build := exec.Command("go", "build", "-o", dir, "../cmd/...")
+	if out, err := build.CombinedOutput(); err != nil {
+		fmt.Fprintf(os.Stderr, "build: %v\n%s", err, out)
+		os.Exit(1)
+	}
+	code := m.Run()
+	_ = os.RemoveAll(dir)
+	os.Exit(code)
+}
+
+// start runs a binary until the test ends.
+func start(t *testing.T, name string, args ...string) *process {
+	t.Helper()
+	p := &process{t: t, name: name, exited: make(chan struct{})}
+	p.cmd = exec.Command(filepath.Join(binaries, name), args...)
+	p.cmd.Stdout = p
+	p.cmd.Stderr = p
+	if err := p.cmd.Start(); err != nil {
+		t.Fatal(err)
+	}
+	go p.run()
+	t.Cleanup(p.end)
+	return p
+}
+
+func (p *process) run() {
+	_ = p.cmd.Wait()
+	close(p.exited)
+}
+
+func (p *process) end() {
+	_ = p.cmd.Process.Signal(syscall.SIGCONT)
+	_ = p.cmd.Process.Kill()
+	<-p.exited
+	if p.t.Failed() {
+		p.t.Logf("output of %s:\n%s", p.name, p.text())
+	}
+}
+
+// Write collects the output.
+func (p *process) Write(b []byte) (int, error) {
+	p.lock.Lock()
+	defer p.lock.Unlock()
+	return p.output.Write(b)
+}
+
+func (p *process) text() string {
+	p.lock.Lock()
+	defer p.lock.Unlock()
+	return p.output.String()
+}
+
+func (p *process) signal(s os.Signal) {
+	p.t.Helper()
+	if err := p.cmd.Process.Signal(s); err != nil {
+		p.t.Fatal(err)
+	}
+}
+
+// exit waits for the process and returns its exit code.
+func (p *process) exit() int {
+	p.t.Helper()
+	select {
+	case <-p.exited:
+	case <-time.After(patience):
+		p.t.Fatalf("%s did not exit", p.name)
+	}
+	return p.cmd.ProcessState.ExitCode()
+}
+
+// field waits for a JSON line that has the field and returns the line.
+func (p *process) field(name string) map[string]any {
+	p.t.Helper()
+	var found map[string]any
+	eventually(p.t, p.name+" prints "+name, func() bool {
+		s := bufio.NewScanner(strings.NewReader(p.text()))
+		for s.Scan() {
+			var line map[string]any
+			if json.Unmarshal(s.Bytes(), &line) == nil && line[name] != nil {
+				found = line
+				return true
+			}
+		}
+		return false
+	})
+	return found
+}
+
+// eventually waits until a condition holds.
+func eventually(t *testing.T, what string, done func() bool) {
+	t.Helper()
+	end := time.Now().Add(patience)
+	for !done() {
+		if time.Now().After(end) {
+			t.Fatalf("never: %s", what)
+		}
+		time.Sleep(glance)
+	}
+}
+
+func startPlatform(t *testing.T) string {
+	t.Helper()
+	p := start(t, "gullvale-standin", "platform")
+	return "http://" + p.field("Address")["Address"].(string)
+}
+
+func startUpstream(t *testing.T, args ...string) string {
+	t.Helper()
+	p := start(t, "gullvale-standin", append([]string{"upstream", "--service-millis", "5"}, args...)...)
+	return p.field("Address")["Address"].(string)
+}
+
+func startDaemon(t *testing.T, o daemonOptions) *daemon {
+	t.Helper()
+	file := filepath.Join(t.TempDir(), o.name+".toml")
+	text := fmt.Sprintf(`Name = %q
+Region = %q
+Domain = %q
+Callers = "127.0.0.1:0"
+Links = "127.0.0.1:0"
+Operators = "127.0.0.1:0"
+Seeds = [%s]
+
+[Platform]
+Address = %q
+
+[Tokens]
+anna = "administer %s"
+`, o.name, o.region, o.domain, quoted(o.seeds), o.platform, operator.HashToken(token))
+	if err := os.WriteFile(file, []byte(text), 0o600); err != nil {
+		t.Fatal(err)
+	}
+	d := &daemon{process: start(t, "gullvaled", "--settings", file)}
+	line := d.field("callers")
+	d.callers = line["callers"].(string)
+	d.links = line["links"].(string)
+	d.operators = line["operators"].(string)
+	return d
+}
+
+func quoted(list []string) string {
+	var out []string
+	for _, s := range list {
+		out = append(out, fmt.Sprintf("%q", s))
+	}
+	return strings.Join(out, ", ")
+}
+
+// call makes one call of an operator and decodes the answer.
+func (d *daemon) call(method, path string, body, answer any) int {
+	d.t.Helper()
+	b, err := json.Marshal(body)
+	if err != nil {
+		d.t.Fatal(err)
+	}
+	q, err := http.NewRequest(method, "http://"+d.operators+path, bytes.NewReader(b))
+	if err != nil {
+		d.t.Fatal(err)
+	}
+	q.Header.Set("Authorization", "Bearer "+token)
+	p, err := http.DefaultClient.Do(q)
+	if err != nil {
+		d.t.Fatal(err)
+	}
+	defer p.Body.Close()
+	if answer != nil {
+		if err := json.NewDecoder(p.Body).Decode(answer); err != nil {
+			d.t.Fatal(err)
+		}
+	}
+	return p.StatusCode
+}
+
+// ready waits until the daemon is healthy.
+func (d *daemon) ready() {
+	d.t.Helper()
+	eventually(d.t, d.name+" is healthy", func() bool {
+		p, err := http.Get("http://" + d.operators + operator.PathHealth)
+		if err != nil {
+			return false
+		}
+		p.Body.Close()
+		return p.StatusCode == http.StatusOK
+	})
+}
+
+// apply replaces the whole tree and waits until it is in force everywhere.
+func (d *daemon) apply(members int, text string) {
+	d.t.Helper()
+	is := is.New(d.t)
+	d.ready()
+	var a operator.ChangeAnswer
+	is.Equal(d.call(http.MethodPost, operator.PathChange, operator.ChangeRequest{TOML: text}, &a), http.StatusOK)
+	eventually(d.t, "settings are in force on all", func() bool {
+		var f operator.InForceAnswer
+		path := fmt.Sprintf("%s?Number=%d", operator.PathInForce, a.Number)
+		return d.call(http.MethodGet, path, nil, &f) == http.StatusOK && f.Members == members && f.InForce == members
+	})
+}
+
+// fault sets what goes wrong at a stand-in platform.
+func fault(t *testing.T, address string, f platform.Faults) {
+	t.Helper()
+	b, err := json.Marshal(f)
+	if err != nil {
+		t.Fatal(err)
+	}
+	p, err := http.Post(address+"/Faults", "application/json", bytes.NewReader(b))
+	if err != nil {
+		t.Fatal(err)
+	}
+	p.Body.Close()
+}
+
+// counts returns what a stand-in upstream did.
+func counts(t *testing.T, address string) server.Counts {
+	t.Helper()
+	p, err := http.Get("http://" + address + "/Journal")
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer p.Body.Close()
+	var c server.Counts
+	if err := json.NewDecoder(p.Body).Decode(&c); err != nil {
+		t.Fatal(err)
+	}
+	return c
+}
+
+// send sends one request to an entry.
+func (d *daemon) send(ctx context.Context, method, service, target string, body io.Reader) (*http.Response, error) {
+	q, err := http.NewRequestWithContext(ctx, method, "http://"+d.callers+target, body)
+	if err != nil {
+		return nil, err
+	}
+	q.Header.Set("Gullvale-Service", service)
+	return http.DefaultClient.Do(q)
+}
