--- a/internal/process/changer/changer.go
+++ b/internal/process/changer/changer.go
@@ -9,6 +9,7 @@
 
 	"github.com/gullvale/gullvale/internal/version/applier"
 	"github.com/gullvale/gullvale/internal/version/parser"
+	"github.com/gullvale/gullvale/internal/version/planner"
 	"github.com/gullvale/gullvale/internal/version/resolver"
 	"github.com/gullvale/gullvale/pkg/recorder"
 	"github.com/gullvale/gullvale/pkg/timekeeper"
@@ -20,8 +21,9 @@
 		Clock   timekeeper.Clock
 		Log     *recorder.Log
 		Applier *applier.Applier
-		// Guard finds what a tree would overload. Nil means no check.
-		Guard func(resolver.Tree) parser.Problems
+		// Guard predicts the use of sites under a tree and says what it would
+		// overload. Nil means no check.
+		Guard func(resolver.Tree) ([]planner.Use, parser.Problems)
 		// Advanced is told when the number in force here went up.
 		Advanced func()
 	}
@@ -47,8 +49,10 @@
 		Change recorder.Change
 		Edits  []resolver.Edit
 		// Warnings is what the guard objects to.
-		Warnings parser.Problems `json:",omitempty"`
-		DryRun   bool            `json:",omitempty"`
+		Warnings parser.Problems
+		DryRun   bool
+		// Predicted is the use of sites that a dry run foresees.
+		Predicted []planner.Use
 	}
 
 	// GuardError is a change that the guard refused.
@@ -81,9 +85,9 @@
 			return Result{}, err
 		}
 	}
-	change, warnings, err := c.prepare(tree, r)
+	change, result, err := c.prepare(tree, r)
 	if err != nil || r.DryRun {
-		return Result{Change: change, Edits: r.Edits, Warnings: warnings, DryRun: r.DryRun}, err
+		return result, err
 	}
 	made, err := c.Log.Append(ctx, change, head, func(theirs recorder.Change) error {
 		return c.rebase(r, theirs)
@@ -93,7 +97,8 @@
 	}
 	c.add(made)
 	c.snapshot(ctx, made.Number)
-	return Result{Change: made, Edits: r.Edits, Warnings: warnings}, nil
+	result.Change = made
+	return result, nil
 }
 
 // catchUp brings the settings here to the newest that the platform shows.
@@ -173,7 +178,8 @@
 }
 
 // prepare checks a change against a tree.
-func (c *Changer) prepare(tree resolver.Tree, r Request) (recorder.Change, parser.Problems, error) {
+func (c *Changer) prepare(tree resolver.Tree, r Request) (recorder.Change, Result, error) {
+	result := Result{Edits: r.Edits, DryRun: r.DryRun}
 	change := recorder.Change{
 		ID:       r.ID,
 		Who:      r.Who,
@@ -184,28 +190,23 @@
 	}
 	next, problems := tree.Apply(r.Edits)
 	if len(problems) > 0 {
-		return change, nil, problems
+		return change, result, problems
 	}
 	if len(tree.Difference(next)) == 0 {
-		return change, nil, ErrNothing
+		return change, result, ErrNothing
 	}
 	body, err := json.Marshal(applier.Content{Edits: r.Edits, Inverse: tree.Inverse(r.Edits)})
 	if err != nil {
-		return change, nil, eris.Wrap(err, "encode change")
+		return change, result, eris.Wrap(err, "encode change")
 	}
 	change.Body = body
-	warnings := c.guard(next)
-	if len(warnings) > 0 && !r.Force && !r.DryRun {
-		return change, warnings, &GuardError{Problems: warnings}
+	if c.Guard != nil {
+		result.Predicted, result.Warnings = c.Guard(next)
 	}
-	return change, warnings, nil
-}
-
-func (c *Changer) guard(next resolver.Tree) parser.Problems {
-	if c.Guard == nil {
-		return nil
+	if len(result.Warnings) > 0 && !r.Force && !r.DryRun {
+		return change, result, &GuardError{Problems: result.Warnings}
 	}
-	return c.Guard(next)
+	return change, result, nil
 }
 
 // rebase asks whether the change still holds behind one that was faster.
--- /dev/null
+++ b/internal/process/commander/settings.go
@@ -0,0 +1,380 @@
+package commander
+
+import (
+	"context"
+	"encoding/json"
+	"fmt"
+	"net/http"
+	"net/url"
+	"os"
+	"strconv"
+	"strings"
+	"time"
+
+	"github.com/spf13/cobra"
+
+	"github.com/gullvale/gullvale/internal/process/operator"
+	"github.com/gullvale/gullvale/internal/version/applier"
+	"github.com/gullvale/gullvale/internal/version/parser"
+	"github.com/gullvale/gullvale/internal/version/resolver"
+	"github.com/gullvale/gullvale/pkg/recorder"
+)
+
+const (
+	// forceWait is how long a change is followed until it is in force
+	// everywhere.
+	forceWait = 10 * time.Second
+	forcePace = 100 * time.Millisecond
+)
+
+// changeFlags are the flags of every command that changes settings.
+type changeFlags struct {
+	why    string
+	dryRun bool
+	force  bool
+	noWait bool
+}
+
+func (f *changeFlags) add(c *cobra.Command) {
+	c.Flags().StringVarP(&f.why, "why", "m", "", "reason, kept in the log")
+	c.Flags().BoolVarP(&f.dryRun, "dry-run", "n", false, "show what would happen, change nothing")
+	c.Flags().BoolVar(&f.force, "force", false, "do it although it would overload a place")
+	c.Flags().BoolVar(&f.noWait, "no-wait", false, "do not wait until it is in force everywhere")
+}
+
+func (a *app) settings() *cobra.Command {
+	c := &cobra.Command{
+		Use:     "settings",
+		Aliases: []string{"s"},
+		Short:   "Show and change the tree of settings",
+	}
+	c.AddCommand(a.settingsShow(), a.settingsSet(), a.settingsUnset(), a.settingsApply(), a.settingsLog(),
+		a.settingsUndo(), a.settingsCheck(), a.settingsKeys())
+	return c
+}
+
+func (a *app) settingsShow() *cobra.Command {
+	var whole bool
+	c := &cobra.Command{
+		Use:   "show [PATH]",
+		Short: "Show the values in force at a path and the level each comes from",
+		Args:  cobra.MaximumNArgs(1),
+		RunE: func(c *cobra.Command, args []string) error {
+			cl, err := newClient()
+			if err != nil {
+				return err
+			}
+			if whole {
+				return a.showTOML(c.Context(), cl)
+			}
+			return a.showPath(c.Context(), cl, strings.Join(args, ""))
+		},
+	}
+	c.Flags().BoolVar(&whole, "toml", false, "print the whole tree as TOML, for `settings apply`")
+	return c
+}
+
+func (a *app) showTOML(ctx context.Context, cl *client) error {
+	var t operator.TOMLAnswer
+	if err := cl.get(ctx, operator.PathTOML, &t); err != nil {
+		return err
+	}
+	return a.show(t, func() { a.printf("%s", t.Text) })
+}
+
+func (a *app) showPath(ctx context.Context, cl *client, path string) error {
+	var s operator.SettingsAnswer
+	if err := cl.get(ctx, operator.PathSettings+"?Path="+url.QueryEscape(path), &s); err != nil {
+		return err
+	}
+	return a.show(s, func() {
+		a.printf("%s at change %d\n", s.Path, s.Number)
+		for _, v := range s.Values {
+			mark := " "
+			if v.Own {
+				mark = "*"
+			}
+			a.printf("%s %-20s %-24s %s\n", mark, v.Key, short(string(v.Value)), v.From)
+		}
+		if len(s.Beneath) > 0 {
+			a.printf("set beneath:\n")
+		}
+		for _, e := range s.Beneath {
+			a.printf("  %s %s = %s\n", e.Path, e.Key, short(string(e.Value)))
+		}
+	})
+}
+
+// short cuts long values, such as lists of upstreams, for a narrow screen.
+func short(s string) string {
+	const most = 40
+	if len(s) <= most {
+		return s
+	}
+	return fmt.Sprintf("%s… (%d in all)", s[:most-12], strings.Count(s, ",")+1)
+}
+
+func (a *app) settingsSet() *cobra.Command {
+	var f changeFlags
+	c := &cobra.Command{
+		Use:     "set PATH KEY=VALUE...",
+		Short:   "Set values at a path",
+		Example: "  gullvale settings set michigan Limit=80%\n  gullvale s set michigan/a:keg-ledger Slots=4 -m 'slow disks'",
+		Args:    cobra.MinimumNArgs(2),
+		RunE: func(c *cobra.Command, args []string) error {
+			var edits []resolver.Edit
+			for _, kv := range args[1:] {
+				k, v, ok := strings.Cut(kv, "=")
+				if !ok {
+					return failure{ExitInput, fmt.Sprintf("%q is not KEY=VALUE", kv)}
+				}
+				edits = append(edits, resolver.Edit{Path: args[0], Key: resolver.Key(k), Value: resolver.Value(v)})
+			}
+			return a.change(c.Context(), f, operator.ChangeRequest{Edits: edits})
+		},
+	}
+	f.add(c)
+	return c
+}
+
+func (a *app) settingsUnset() *cobra.Command {
+	var f changeFlags
+	c := &cobra.Command{
+		Use:   "unset PATH KEY...",
+		Short: "Take values away, so that those from further up count",
+		Args:  cobra.MinimumNArgs(2),
+		RunE: func(c *cobra.Command, args []string) error {
+			return a.change(c.Context(), f, operator.ChangeRequest{Edits: unset(args[0], args[1:]...)})
+		},
+	}
+	f.add(c)
+	return c
+}
+
+func unset(path string, keys ...string) []resolver.Edit {
+	var edits []resolver.Edit
+	for _, k := range keys {
+		edits = append(edits, resolver.Edit{Path: path, Key: resolver.Key(k), Unset: true})
+	}
+	return edits
+}
+
+func (a *app) settingsApply() *cobra.Command {
+	var f changeFlags
+	c := &cobra.Command{
+		Use:   "apply FILE",
+		Short: "Make the tree be exactly what a TOML file says",
+		Args:  cobra.ExactArgs(1),
+		RunE: func(c *cobra.Command, args []string) error {
+			text, problems := checkFile(args[0])
+			if len(problems) > 0 {
+				return failure{ExitInput, problems.Error()}
+			}
+			return a.change(c.Context(), f, operator.ChangeRequest{TOML: text, File: args[0]})
+		},
+	}
+	f.add(c)
+	return c
+}
+
+func (a *app) settingsCheck() *cobra.Command {
+	return &cobra.Command{
+		Use:   "check FILE",
+		Short: "Check a TOML file of the tree without asking any daemon",
+		Args:  cobra.ExactArgs(1),
+		RunE: func(_ *cobra.Command, args []string) error {
+			if _, problems := checkFile(args[0]); len(problems) > 0 {
+				return failure{ExitInput, problems.Error()}
+			}
+			return a.show(struct{ File, Result string }{args[0], "ok"}, func() { a.printf("%s: ok\n", args[0]) })
+		},
+	}
+}
+
+func checkFile(name string) (string, parser.Problems) {
+	data, err := os.ReadFile(name)
+	if err != nil {
+		return "", parser.Problems{{Text: err.Error()}}
+	}
+	edits, problems := resolver.ReadTOML(name, data)
+	_, more := resolver.Tree{}.Apply(edits)
+	return string(data), append(problems, more...)
+}
+
+func (a *app) settingsKeys() *cobra.Command {
+	return &cobra.Command{
+		Use:   "keys",
+		Short: "List every setting with its default",
+		Args:  cobra.NoArgs,
+		RunE: func(*cobra.Command, []string) error {
+			all := resolver.Definitions()
+			return a.show(all, func() {
+				for _, d := range all {
+					a.printf("%-20s %-16s %s\n", d.Key, d.Default, d.Help)
+				}
+			})
+		},
+	}
+}
+
+func (a *app) settingsLog() *cobra.Command {
+	var most int
+	c := &cobra.Command{
+		Use:   "log",
+		Short: "Show the last changes: number, who, when, what, why",
+		Args:  cobra.NoArgs,
+		RunE: func(c *cobra.Command, _ []string) error {
+			cl, err := newClient()
+			if err != nil {
+				return err
+			}
+			var now operator.SettingsAnswer
+			if err := cl.get(c.Context(), operator.PathSettings, &now); err != nil {
+				return err
+			}
+			after := uint64(0)
+			if n := uint64(now.Number); n > uint64(most) {
+				after = n - uint64(most)
+			}
+			var l operator.LogAnswer
+			if err := cl.get(c.Context(), operator.PathLog+"?After="+strconv.FormatUint(after, 10), &l); err != nil {
+				return err
+			}
+			return a.show(l, func() { a.printLog(l.Changes) })
+		},
+	}
+	c.Flags().IntVarP(&most, "last", "l", 20, "how many changes")
+	return c
+}
+
+func (a *app) printLog(changes []recorder.Change) {
+	for _, x := range changes {
+		a.printf("%d  %s  %s  %s", x.Number, x.AtMillis.Time().Local().Format("01-02 15:04:05"), x.Who, x.ID)
+		if x.Undoes > 0 {
+			a.printf("  undoes %d", x.Undoes)
+		}
+		if x.Why != "" {
+			a.printf("  %q", x.Why)
+		}
+		a.printf("\n")
+		for _, line := range editLines(x.Body) {
+			a.printf("    %s\n", line)
+		}
+	}
+}
+
+// editLines prints what the body of a change does, a setting a line.
+func editLines(body json.RawMessage) []string {
+	var c applier.Content
+	if err := json.Unmarshal(body, &c); err != nil {
+		return nil
+	}
+	return linesOf(c.Edits)
+}
+
+func linesOf(edits []resolver.Edit) []string {
+	var out []string
+	for _, e := range edits {
+		if e.Unset {
+			out = append(out, fmt.Sprintf("%s %s unset", e.Path, e.Key))
+			continue
+		}
+		out = append(out, fmt.Sprintf("%s %s = %s", e.Path, e.Key, short(string(e.Value))))
+	}
+	return out
+}
+
+func (a *app) settingsUndo() *cobra.Command {
+	var f changeFlags
+	c := &cobra.Command{
+		Use:   "undo NUMBER",
+		Short: "Take a change back",
+		Args:  cobra.ExactArgs(1),
+		RunE: func(c *cobra.Command, args []string) error {
+			n, err := strconv.ParseUint(args[0], 10, 64)
+			if err != nil || n == 0 {
+				return failure{ExitInput, fmt.Sprintf("%q is not the number of a change", args[0])}
+			}
+			return a.change(c.Context(), f, operator.ChangeRequest{Undo: recorder.Number(n)})
+		},
+	}
+	f.add(c)
+	return c
+}
+
+// change asks for a change and follows it until it is in force everywhere.
+func (a *app) change(ctx context.Context, f changeFlags, q operator.ChangeRequest) error {
+	cl, err := newClient()
+	if err != nil {
+		return err
+	}
+	q.Why = f.why
+	q.DryRun = f.dryRun
+	q.Force = f.force
+	began := time.Now()
+	answer, err := cl.change(ctx, q)
+	if err != nil {
+		return err
+	}
+	result := changeResult{ChangeAnswer: answer}
+	if !answer.DryRun && !f.noWait {
+		result.InForce, result.Members = cl.follow(ctx, answer.Number)
+		result.AfterMillis = time.Since(began).Milliseconds()
+	}
+	return a.show(result, func() { a.printChange(result) })
+}
+
+// changeResult is what a command that changes settings prints as JSON.
+type changeResult struct {
+	operator.ChangeAnswer
+	InForce     int
+	Members     int
+	AfterMillis int64
+}
+
+func (a *app) printChange(r changeResult) {
+	for _, line := range linesOf(r.Edits) {
+		a.printf("  %s\n", line)
+	}
+	for _, w := range r.Warnings {
+		a.printf("warning: %s\n", w.Error())
+	}
+	if r.DryRun {
+		for _, u := range r.Predicted {
+			a.printf("  %-28s %6.1f of %.1f slots\n", resolver.PathOf(u.Site, u.Service), u.Slots, u.Limit)
+		}
+		a.printf("dry run: nothing changed\n")
+		return
+	}
+	a.printf("change %d accepted", r.Number)
+	if r.Members > 0 {
+		a.printf(", in force on %d of %d after %.1f s", r.InForce, r.Members, float64(r.AfterMillis)/1000)
+	}
+	a.printf("\n")
+}
+
+// follow waits until a number is in force on all daemons, and returns how many
+// have it when it stops waiting.
+func (c *client) follow(ctx context.Context, n recorder.Number) (inForce, members int) {
+	end := time.Now().Add(forceWait)
+	for {
+		var f operator.InForceAnswer
+		err := c.get(ctx, fmt.Sprintf("%s?Number=%d", operator.PathInForce, n), &f)
+		if err == nil {
+			inForce, members = f.InForce, f.Members
+			if inForce >= members && members > 0 {
+				return inForce, members
+			}
+		}
+		if time.Now().After(end) {
+			return inForce, members
+		}
+		time.Sleep(forcePace)
+	}
+}
+
+func (c *client) postBlocks(ctx context.Context, name string, text []byte, answer any) error {
+	return c.each(func(address string) error {
+		return c.call(ctx, http.MethodPost, address, operator.PathBlocks+"?Name="+url.QueryEscape(name), text, answer)
+	})
+}
--- a/internal/process/leader/plan.go
+++ b/internal/process/leader/plan.go
@@ -192,7 +192,7 @@
 
 // load joins the summaries.
 func (l *Leader) load(p *planning) planner.Load {
-	out := planner.Load{Work: map[resolver.ServiceName]map[registrar.Site]float64{}}
+	out := planner.Load{Work: map[resolver.ServiceName]planner.Demand{}}
 	now := l.Clock.Now()
 	for region := range l.regions() {
 		s, ok := p.seen[region]
@@ -202,7 +202,7 @@
 		}
 		for _, w := range s.summary.Work {
 			if out.Work[w.Service] == nil {
-				out.Work[w.Service] = map[registrar.Site]float64{}
+				out.Work[w.Service] = planner.Demand{}
 			}
 			out.Work[w.Service][w.Origin] += w.Slots
 		}
--- a/internal/process/measurer/meter.go
+++ b/internal/process/measurer/meter.go
@@ -6,6 +6,7 @@
 	"sync"
 	"time"
 
+	registerer "github.com/prometheus/client_golang/prometheus"
 	"github.com/uber-go/tally/v4"
 	"github.com/uber-go/tally/v4/prometheus"
 )
@@ -66,7 +67,9 @@
 
 // New starts a meter.
 func New() *Meter {
-	r := prometheus.NewReporter(prometheus.Options{})
+	// A registry of its own, so that one process can hold several daemons.
+	registry := registerer.NewRegistry()
+	r := prometheus.NewReporter(prometheus.Options{Registerer: registry, Gatherer: registry})
 	scope, closer := tally.NewRootScope(tally.ScopeOptions{
 		Prefix:         namespace,
 		CachedReporter: r,
--- a/internal/process/operator/api.go
+++ b/internal/process/operator/api.go
@@ -18,6 +18,7 @@
 	PathInForce  = "/Settings/InForce"
 	PathBlocks   = "/Blocks"
 	PathStatus   = "/Status"
+	PathLookup   = "/Lookup"
 	PathMetrics  = "/metrics"
 	PathHealth   = "/health"
 )
@@ -85,6 +86,9 @@
 		Edits    []resolver.Edit
 		Warnings parser.Problems `json:",omitempty"`
 		DryRun   bool            `json:",omitempty"`
+		// Predicted is the use of every site once the change is carried out,
+		// by the load measured now. Only a dry run tells it.
+		Predicted []planner.Use `json:",omitempty"`
 	}
 
 	// InForceAnswer tells on how many daemons a change is in force.
@@ -145,7 +149,8 @@
 		Service resolver.ServiceName
 		From    string
 		To      string
-		// Want and Have are the share of the traffic of From that runs in To.
+		// Want and Have are the share of the traffic of From that is to move
+		// and has moved.
 		Want float64
 		Have float64
 	}
--- a/internal/process/operator/server.go
+++ b/internal/process/operator/server.go
@@ -48,6 +48,8 @@
 		// Healthy tells whether the daemon takes new work, and if not, why.
 		Healthy func() (bool, string)
 		Metrics http.Handler
+		// Lookup answers look-ups for operators who want to see them.
+		Lookup http.Handler
 	}
 
 	// who is the operator of a call.
@@ -79,6 +81,7 @@
 			s.route(http.MethodGet, PathStatus, view, s.status),
 			s.route(http.MethodPost, PathChange, steer, s.change),
 			s.route(http.MethodPost, PathBlocks, configurer.RoleAdminister, s.blocks),
+			{Method: http.MethodGet, Path: PathLookup, Handler: s.Lookup.ServeHTTP},
 			{Method: http.MethodGet, Path: PathMetrics, Handler: s.Metrics.ServeHTTP},
 			{Method: http.MethodGet, Path: PathHealth, Handler: s.health},
 		},
@@ -202,10 +205,11 @@
 		return nil, err
 	}
 	return ChangeAnswer{
-		Number:   result.Change.Number,
-		Edits:    result.Edits,
-		Warnings: result.Warnings,
-		DryRun:   result.DryRun,
+		Number:    result.Change.Number,
+		Edits:     result.Edits,
+		Warnings:  result.Warnings,
+		DryRun:    result.DryRun,
+		Predicted: result.Predicted,
 	}, nil
 }
 
--- a/internal/process/runner/daemon.go
+++ b/internal/process/runner/daemon.go
@@ -101,6 +101,7 @@
 		joiner    *joiner.Joiner
 		leader    *leader.Leader
 		forwarder *forwarder.Forwarder
+		looker    *looker.Looker
 		changer   *changer.Changer
 		announcer announcer
 
@@ -225,6 +226,7 @@
 		Leaving:  d.leaving.Load,
 	}
 	d.links.Serve = d.forwarder.RunLinked
+	d.looker = &looker.Looker{Snapshot: d.snapshot.Load, Meter: d.meter}
 	d.changer = &changer.Changer{
 		Clock:    d.clock,
 		Log:      d.records,
@@ -318,11 +320,10 @@
 
 // callersHandler serves look-ups and forwards everything else.
 func (d *Daemon) callersHandler() (http.Handler, error) {
-	lookups := &looker.Looker{Snapshot: d.snapshot.Load, Meter: d.meter}
 	return router.New(router.Options{
 		Name: "callers",
 		Routes: []rest.Route{
-			{Method: http.MethodGet, Path: looker.Path, Handler: lookups.ServeHTTP},
+			{Method: http.MethodGet, Path: looker.Path, Handler: d.looker.ServeHTTP},
 			{Method: http.MethodGet, Path: operator.PathHealth, Handler: d.serveHealth},
 		},
 		Fallback: d.forwarder,
@@ -341,6 +342,7 @@
 		InForce: d.inForce,
 		Healthy: d.healthy,
 		Metrics: d.meter.Handler(),
+		Lookup:  d.looker,
 	}
 	return s.Handler()
 }
--- a/internal/process/runner/status.go
+++ b/internal/process/runner/status.go
@@ -12,7 +12,6 @@
 	"github.com/gullvale/gullvale/internal/version/resolver"
 	"github.com/gullvale/gullvale/internal/version/steerer"
 	"github.com/gullvale/gullvale/pkg/recorder"
-	"github.com/gullvale/gullvale/pkg/registrar"
 )
 
 const mostSummaries = 100
@@ -98,27 +97,10 @@
 	return out
 }
 
-// shiftStatus tells how much of what the region's own callers ask for runs in
-// the other region.
+// shiftStatus tells how far a shift has come.
 func shiftStatus(s *steerer.Snapshot, x resolver.Shift) operator.ShiftStatus {
-	var have float64
-	n := 0
-	for _, origin := range s.Settings.Sites {
-		if origin.Region() != x.From {
-			continue
-		}
-		d, ok := s.Plan.Route(x.Service, origin)
-		if !ok {
-			continue
-		}
-		n++
-		for _, p := range d {
-			if registrar.Site(p.Site).Region() == x.To {
-				have += p.Share.Fraction()
-			}
-		}
-	}
-	return operator.ShiftStatus{Service: x.Service, From: x.From, To: x.To, Want: x.Share, Have: have / float64(max(n, 1))}
+	have := s.Plan.Shift(x.Service, x.From, x.To).Moved
+	return operator.ShiftStatus{Service: x.Service, From: x.From, To: x.To, Want: x.Share, Have: have}
 }
 
 func regionStatus(settings *resolver.Resolved, x leader.Summary) operator.RegionStatus {
@@ -163,21 +145,23 @@
 
 // guard finds what a tree would overload, by the load that the leads told. In
 // an outage of the platform no change can be recorded anyway.
-func (d *Daemon) guard(t resolver.Tree) parser.Problems {
+func (d *Daemon) guard(t resolver.Tree) ([]planner.Use, parser.Problems) {
 	ctx, cancel := context.WithTimeout(d.base, peerTimeout)
 	defer cancel()
 	all, err := d.summaries(ctx)
 	if err != nil {
-		return parser.Problems{{Text: fmt.Sprintf("the load is not known: %v", err)}}
+		return nil, parser.Problems{{Text: fmt.Sprintf("the load is not known: %v", err)}}
 	}
-	load := planner.Load{Work: map[resolver.ServiceName]map[registrar.Site]float64{}}
+	load := planner.Load{Work: map[resolver.ServiceName]planner.Demand{}}
 	for _, s := range all {
 		for _, w := range s.Work {
 			if load.Work[w.Service] == nil {
-				load.Work[w.Service] = map[registrar.Site]float64{}
+				load.Work[w.Service] = planner.Demand{}
 			}
 			load.Work[w.Service][w.Origin] += w.Slots
 		}
 	}
-	return planner.Check(t.Resolve(), load, d.clock.WallNow())
+	next := t.Resolve()
+	wall := d.clock.WallNow()
+	return planner.Predict(next, load, wall), planner.Check(next, load, wall)
 }
--- /dev/null
+++ b/internal/standin/demonstrator/demo.go
@@ -0,0 +1,235 @@
+package demonstrator
+
+import (
+	"context"
+	"fmt"
+	"io"
+	"sync"
+	"time"
+
+	"github.com/gullvale/gullvale/internal/standin/caller"
+	"github.com/gullvale/gullvale/internal/version/resolver"
+	"github.com/gullvale/gullvale/pkg/finder"
+)
+
+const (
+	// ShortestRun is the least length of a demo in which the shift and the
+	// drain come to their end.
+	ShortestRun = 10 * time.Second
+
+	shiftShare = 0.2
+
+	// The moments of the run, as parts of its length.
+	shiftAt   = 0.10
+	drainAt   = 0.45
+	undrainAt = 0.80
+
+	// shiftPart is the part of the run in which the shift may move all of its
+	// share; the cap follows from it.
+	shiftPart = 0.25
+
+	watchPace = 20 * time.Millisecond
+)
+
+type (
+	// Options is what a demo is to be.
+	Options struct {
+		Shape string
+		// Length is how long the load lasts.
+		Length time.Duration
+		// Load is the load as a part of all slots.
+		Load float64
+		Seed uint64
+		// Out receives the progress.
+		Out io.Writer
+	}
+
+	// run is one demo under way.
+	run struct {
+		options Options
+		shape   shape
+		fleet   *fleet
+		load    *caller.Load
+		usage   *usage
+		report  Report
+		began   time.Time
+		lock    sync.Mutex
+	}
+)
+
+// Run runs a demo and reports on it.
+func Run(ctx context.Context, o Options) (*Report, error) {
+	s, err := shapeOf(o.Shape)
+	if err != nil {
+		return nil, err
+	}
+	f, err := startFleet(ctx, s)
+	defer f.stop()
+	if err != nil {
+		return nil, err
+	}
+	r := &run{options: o, shape: s, fleet: f, load: &caller.Load{}, usage: newUsage(f)}
+	r.began = time.Now()
+	r.say("%s: %d daemons, %d upstreams, load %.0f%% of slots", s.name, len(f.daemons), len(f.servers), 100*o.Load)
+	ctx, cancel := context.WithCancel(ctx)
+	defer cancel()
+	go r.usage.loop(ctx)
+	if err := r.drive(ctx); err != nil {
+		return nil, err
+	}
+	r.load.Wait()
+	cancel()
+	r.finish()
+	return &r.report, nil
+}
+
+func (r *run) say(format string, args ...any) {
+	fmt.Fprintf(r.options.Out, "%5.1fs  %s\n", time.Since(r.began).Seconds(), fmt.Sprintf(format, args...))
+}
+
+// drive runs the load and the operators beside it.
+func (r *run) drive(ctx context.Context) error {
+	loadCtx, cancel := context.WithTimeout(ctx, r.options.Length)
+	defer cancel()
+	var streams sync.WaitGroup
+	for _, s := range r.streams() {
+		streams.Add(1)
+		go r.runStream(loadCtx, s, &streams)
+	}
+	err := r.steer(loadCtx)
+	streams.Wait()
+	return err
+}
+
+func (r *run) runStream(ctx context.Context, s caller.Stream, done *sync.WaitGroup) {
+	defer done.Done()
+	r.load.Run(ctx, s)
+}
+
+// streams is the load of each service from each site's blocks. Answers count
+// in the classes of their service.
+func (r *run) streams() []caller.Stream {
+	finders := r.fleet.finders()
+	var out []caller.Stream
+	sites := r.shape.sites()
+	for _, v := range r.shape.services {
+		for n, site := range sites {
+			f := finders[site.Region()]
+			out = append(out, caller.Stream{
+				Class:    string(v.name),
+				Service:  string(v.name),
+				Rate:     v.rate(r.options.Load) / float64(len(sites)),
+				PostPart: v.postPart,
+				Bytes:    v.bytes,
+				Blocks:   blocksOf(n),
+				Finder:   func(string) *finder.Finder { return f },
+				Seed:     r.options.Seed*1000 + uint64(len(out)),
+			})
+		}
+	}
+	return out
+}
+
+// steer does what operators do: a shift with a cap, a drain, its end.
+func (r *run) steer(ctx context.Context) error {
+	if err := r.at(ctx, shiftAt); err != nil {
+		return err
+	}
+	if err := r.shift(ctx); err != nil {
+		return err
+	}
+	if err := r.at(ctx, drainAt); err != nil {
+		return err
+	}
+	if err := r.drain(ctx); err != nil {
+		return err
+	}
+	if err := r.at(ctx, undrainAt); err != nil {
+		return err
+	}
+	p := r.shape.drain.String()
+	took, err := r.fleet.operator().set(ctx, resolver.Edit{Path: p, Key: resolver.KeyDrain, Unset: true})
+	if err != nil {
+		return err
+	}
+	r.say("undrain %s: in force on all after %d ms", p, took.Milliseconds())
+	return nil
+}
+
+func (r *run) at(ctx context.Context, part float64) error {
+	due := r.began.Add(time.Duration(part * float64(r.options.Length)))
+	select {
+	case <-ctx.Done():
+		return ctx.Err()
+	case <-time.After(time.Until(due)):
+		return nil
+	}
+}
+
+// shift moves a part of the first service's traffic and watches the plan keep
+// the cap.
+func (r *run) shift(ctx context.Context) error {
+	service := r.shape.services[0].name
+	path := resolver.Path{Region: r.shape.shiftFrom, Service: service}.String()
+	perMinute := shiftShare / (shiftPart * r.options.Length.Minutes())
+	took, err := r.fleet.operator().set(ctx,
+		resolver.Edit{Path: path, Key: resolver.KeyShiftTo, Value: resolver.Value(r.shape.shiftTo)},
+		resolver.Edit{Path: path, Key: resolver.KeyShiftShare, Value: resolver.Value(fmt.Sprintf("%g%%", 100*shiftShare))},
+		resolver.Edit{Path: path, Key: resolver.KeyShiftCap, Value: resolver.Value(fmt.Sprintf("%.4g%%/min", 100*perMinute))},
+	)
+	if err != nil {
+		return err
+	}
+	r.say("shift %s %s → %s %.0f%% at most %.0f%%/min: in force on all after %d ms",
+		service, r.shape.shiftFrom, r.shape.shiftTo, 100*shiftShare, 100*perMinute, took.Milliseconds())
+	r.report.ShiftCapPerMinute = perMinute
+	go r.runShiftWatch(ctx)
+	return nil
+}
+
+// runShiftWatch follows the share that has moved.
+func (r *run) runShiftWatch(ctx context.Context) {
+	began := time.Now()
+	for ctx.Err() == nil {
+		s := r.fleet.daemons[0].Status(ctx)
+		if len(s.Shifts) > 0 {
+			have := s.Shifts[0].Have
+			r.lock.Lock()
+			r.report.noteShift(time.Since(began), have)
+			r.lock.Unlock()
+			if have >= shiftShare-0.001 {
+				r.say("shift done after %.1f s", time.Since(began).Seconds())
+				return
+			}
+		}
+		time.Sleep(5 * watchPace)
+	}
+}
+
+// drain drains a failure domain and times it until nothing runs there.
+func (r *run) drain(ctx context.Context) error {
+	p := r.shape.drain
+	began := time.Now()
+	took, err := r.fleet.operator().set(ctx, resolver.Edit{Path: p.String(), Key: resolver.KeyDrain, Value: "true"})
+	if err != nil {
+		return err
+	}
+	r.say("drain %s: in force on all after %d ms", p, took.Milliseconds())
+	// Empty is what stays empty: late callers may still come.
+	const quiet = time.Second
+	last := time.Now()
+	for time.Since(last) < quiet {
+		if r.fleet.busyAt(resolver.SiteOf(p)) > 0 {
+			last = time.Now()
+		}
+		if err := ctx.Err(); err != nil {
+			s := r.fleet.daemons[0].Status(context.Background())
+			return fmt.Errorf("drain of %s did not end, %d requests run there, the plan waits for %v", p,
+				r.fleet.busyAt(resolver.SiteOf(p)), s.Holds)
+		}
+		time.Sleep(watchPace)
+	}
+	r.report.Drain = last.Sub(began)
+	r.say("drain done: nothing runs there after %.1f s", r.report.Drain.Seconds())
+	return nil
+}
--- /dev/null
+++ b/internal/standin/demonstrator/report.go
@@ -0,0 +1,249 @@
+package demonstrator
+
+import (
+	"context"
+	"fmt"
+	"io"
+	"maps"
+	"slices"
+	"strings"
+	"sync"
+	"text/tabwriter"
+	"time"
+
+	"github.com/gullvale/gullvale/internal/standin/caller"
+	"github.com/gullvale/gullvale/pkg/registrar"
+)
+
+const (
+	// window is over how long the use of slots is averaged for its peak.
+	window = time.Second
+
+	microsPerMilli = 1000
+
+	// capSlack allows for the time between a step of the plan and its sight.
+	capSlack = 0.02
+)
+
+type (
+	// Report is what came of a demo.
+	Report struct {
+		Shape   string
+		Seconds float64
+		Classes []ClassReport
+		// Use is the highest use of slots by region, as a mean over one
+		// second and at any moment, in parts of all its slots.
+		Use []RegionUse
+		// Drain is from the command until nothing ran there.
+		Drain time.Duration
+		// ShiftCapPerMinute is the cap of the shift, ShiftFastest the most
+		// that moved in any span, scaled to a minute.
+		ShiftCapPerMinute float64
+		ShiftFastest      float64
+		ShiftMoved        float64
+		Verdict           caller.Verdict
+		// Shed is requests that upstreams had to refuse for want of a slot.
+		Shed    int64
+		Lookups uint64
+
+		shiftSeen []shiftPoint
+	}
+
+	// ClassReport is the measures of one class, in milliseconds.
+	ClassReport struct {
+		Class    string
+		Requests uint64
+		Answered uint64
+		NotRun   uint64
+		Unknown  uint64
+		P50      float64
+		P90      float64
+		P99      float64
+		Max      float64
+		Reasons  map[string]uint64 `json:",omitempty"`
+	}
+
+	// RegionUse is the highest use of a region.
+	RegionUse struct {
+		Region string
+		Mean   float64
+		Moment float64
+	}
+
+	shiftPoint struct {
+		at   time.Duration
+		have float64
+	}
+
+	// usage samples the slots in use.
+	usage struct {
+		fleet *fleet
+		slots map[string]int
+
+		lock   sync.Mutex
+		recent map[string][]usePoint
+		mean   map[string]float64
+		moment map[string]float64
+	}
+
+	usePoint struct {
+		at   time.Time
+		part float64
+	}
+)
+
+// Broken tells whether any promise was broken.
+func (r *Report) Broken() bool {
+	return r.Verdict.Broken() || r.ShiftFastest > r.ShiftCapPerMinute*(1+capSlack)
+}
+
+// noteShift keeps how much had moved, whenever it changed.
+func (r *Report) noteShift(at time.Duration, have float64) {
+	if n := len(r.shiftSeen); n > 0 && r.shiftSeen[n-1].have == have {
+		return
+	}
+	r.shiftSeen = append(r.shiftSeen, shiftPoint{at, have})
+	r.ShiftMoved = have
+}
+
+// fastest is the most that moved within any span, scaled to a minute. The first
+// step may hold what the planner allows at once, so the span begins before it.
+func (r *Report) fastest() float64 {
+	var most float64
+	for i, a := range r.shiftSeen {
+		for _, b := range r.shiftSeen[i+1:] {
+			if span := b.at - a.at; span >= 2*time.Second {
+				most = max(most, (b.have-a.have)/span.Minutes())
+			}
+		}
+	}
+	return most
+}
+
+func newUsage(f *fleet) *usage {
+	u := &usage{
+		fleet:  f,
+		slots:  map[string]int{},
+		recent: map[string][]usePoint{},
+		mean:   map[string]float64{},
+		moment: map[string]float64{},
+	}
+	for _, s := range f.servers {
+		u.slots[s.site.Region()] += s.Slots
+	}
+	return u
+}
+
+func (u *usage) loop(ctx context.Context) {
+	t := time.NewTicker(watchPace)
+	defer t.Stop()
+	for {
+		select {
+		case <-ctx.Done():
+			return
+		case <-t.C:
+			u.sample(time.Now())
+		}
+	}
+}
+
+func (u *usage) sample(now time.Time) {
+	busy := map[string]int64{}
+	for _, s := range u.fleet.servers {
+		busy[s.site.Region()] += s.Busy()
+	}
+	u.lock.Lock()
+	defer u.lock.Unlock()
+	for region, slots := range u.slots {
+		part := float64(busy[region]) / float64(slots)
+		u.moment[region] = max(u.moment[region], part)
+		points := append(u.recent[region], usePoint{now, part})
+		for now.Sub(points[0].at) > window {
+			points = points[1:]
+		}
+		u.recent[region] = points
+		u.mean[region] = max(u.mean[region], meanOf(points))
+	}
+}
+
+func meanOf(points []usePoint) float64 {
+	var sum float64
+	for _, p := range points {
+		sum += p.part
+	}
+	return sum / float64(len(points))
+}
+
+// busyAt is how many requests run at a site now.
+func (f *fleet) busyAt(site registrar.Site) int64 {
+	var n int64
+	for _, s := range f.servers {
+		if s.site == site {
+			n += s.Busy()
+		}
+	}
+	return n
+}
+
+// finish fills in the report.
+func (r *run) finish() {
+	p := &r.report
+	p.Shape = r.shape.name
+	p.Seconds = r.options.Length.Seconds()
+	for _, a := range r.load.Accounts() {
+		p.Classes = append(p.Classes, classReport(a))
+	}
+	slices.SortFunc(p.Classes, func(a, b ClassReport) int { return strings.Compare(a.Class, b.Class) })
+	for _, region := range slices.Sorted(maps.Keys(r.usage.mean)) {
+		p.Use = append(p.Use, RegionUse{region, r.usage.mean[region], r.usage.moment[region]})
+	}
+	for _, s := range r.fleet.servers {
+		p.Shed += s.Counts().Shed
+	}
+	r.lock.Lock()
+	p.ShiftFastest = p.fastest()
+	r.lock.Unlock()
+	p.Verdict = r.load.Judge(r.fleet.journals())
+}
+
+func classReport(a caller.Account) ClassReport {
+	at := func(q float64) float64 { return float64(a.Latency.ValueAtQuantile(q)) / microsPerMilli }
+	return ClassReport{
+		Class:    a.Class,
+		Requests: a.Requests,
+		Answered: a.Answered,
+		NotRun:   a.NotRun,
+		Unknown:  a.Unknown,
+		P50:      at(50),
+		P90:      at(90),
+		P99:      at(99),
+		Max:      float64(a.Latency.Max()) / microsPerMilli,
+		Reasons:  a.Reasons,
+	}
+}
+
+// Print writes the report for people.
+func (r *Report) Print(w io.Writer) {
+	t := tabwriter.NewWriter(w, 0, 0, 2, ' ', tabwriter.AlignRight)
+	fmt.Fprintln(t, "\nclass\trequests\tanswered\tnot run\tunknown\tp50 ms\tp90 ms\tp99 ms\tmax ms\t")
+	for _, c := range r.Classes {
+		fmt.Fprintf(t, "%s\t%d\t%d\t%d\t%d\t%.1f\t%.1f\t%.1f\t%.1f\t\n",
+			c.Class, c.Requests, c.Answered, c.NotRun, c.Unknown, c.P50, c.P90, c.P99, c.Max)
+	}
+	t.Flush()
+	for _, c := range r.Classes {
+		for _, reason := range slices.Sorted(maps.Keys(c.Reasons)) {
+			fmt.Fprintf(w, "  %s: %d × %s\n", c.Class, c.Reasons[reason], reason)
+		}
+	}
+	fmt.Fprintln(w)
+	for _, u := range r.Use {
+		fmt.Fprintf(w, "highest use of slots in %s: %.0f%% over a second, %.0f%% at a moment\n", u.Region, 100*u.Mean, 100*u.Moment)
+	}
+	fmt.Fprintf(w, "shift: %.1f%% moved, at most %.1f%%/min of the %.1f%%/min allowed\n",
+		100*r.ShiftMoved, 100*r.ShiftFastest, 100*r.ShiftCapPerMinute)
+	fmt.Fprintf(w, "drain: %.1f s\n", r.Drain.Seconds())
+	v := r.Verdict
+	fmt.Fprintf(w, "lost %d, doubled %d, run after \"not run\" %d, cut %d, wrong %d; shed by upstreams %d\n",
+		v.Lost, v.Doubled, v.NotRunRan, v.Cut, v.Wrong, r.Shed)
+}
--- /dev/null
+++ b/internal/standin/demonstrator/shape.go
@@ -0,0 +1,165 @@
+package demonstrator
+
+import (
+	"fmt"
+	"time"
+
+	"github.com/gullvale/gullvale/internal/version/resolver"
+	"github.com/gullvale/gullvale/pkg/registrar"
+	"github.com/gullvale/gullvale/pkg/timekeeper"
+)
+
+// The shapes of the two deployments.
+const (
+	ShapeKegloop = "kegloop"
+	ShapeAthath  = "athath"
+)
+
+const (
+	blocksPerSite = 60
+	clientDelay   = 3 * time.Millisecond
+	regionDelay   = 35 * time.Millisecond
+)
+
+type (
+	// shape is a deployment: its places, services and lines.
+	shape struct {
+		name string
+		// daemons is how many entries each site has.
+		daemons []siteCount
+		// domainDelay is one way between failure domains of a region.
+		domainDelay time.Duration
+		services    []serviceShape
+		// shift and drain are what the operators do.
+		shiftFrom string
+		shiftTo   string
+		drain     resolver.Path
+	}
+
+	siteCount struct {
+		site  registrar.Site
+		count int
+	}
+
+	serviceShape struct {
+		name          resolver.ServiceName
+		class         resolver.Class
+		servers       int
+		slots         int
+		serviceMillis float64
+		bytes         int64
+		pace          int64
+		postPart      float64
+		connMillis    timekeeper.Millis
+		probeMillis   timekeeper.Millis
+	}
+)
+
+func shapeOf(name string) (shape, error) {
+	switch name {
+	case ShapeKegloop:
+		return kegloop(), nil
+	case ShapeAthath:
+		return athath(), nil
+	}
+	return shape{}, fmt.Errorf("--shape: %q is neither %s nor %s", name, ShapeKegloop, ShapeAthath)
+}
+
+func kegloop() shape {
+	return shape{
+		name: ShapeKegloop,
+		daemons: []siteCount{
+			{"erie/a", 2}, {"erie/b", 2},
+			{"michigan/a", 2}, {"michigan/b", 2},
+			{"superior/a", 1}, {"superior/b", 1},
+		},
+		domainDelay: 1500 * time.Microsecond,
+		services: []serviceShape{
+			{
+				name: "keg-ledger", class: resolver.ClassShort, servers: 24, slots: 6,
+				serviceMillis: 50, bytes: 600, postPart: 0.3, connMillis: 1, probeMillis: 6,
+			},
+			{
+				name: "manifest-depot", class: resolver.ClassExport, servers: 12, slots: 3,
+				serviceMillis: 50, bytes: 400 << 10, pace: 800 << 10, connMillis: 1, probeMillis: 6,
+			},
+		},
+		shiftFrom: "erie",
+		shiftTo:   "michigan",
+		drain:     resolver.Path{Region: "michigan", Domain: "b"},
+	}
+}
+
+func athath() shape {
+	return shape{
+		name: ShapeAthath,
+		daemons: []siteCount{
+			{"muscat/a", 2}, {"muscat/b", 2},
+			{"sohar/a", 2}, {"sohar/b", 2},
+			{"salalah/a", 1}, {"salalah/b", 1},
+		},
+		domainDelay: 500 * time.Microsecond,
+		services: []serviceShape{
+			{
+				name: "shopdesk", class: resolver.ClassShort, servers: 32, slots: 3,
+				serviceMillis: 50, bytes: 600, postPart: 0.3, connMillis: 1,
+			},
+			{
+				name: "catalogue", class: resolver.ClassExport, servers: 12, slots: 3,
+				serviceMillis: 50, bytes: 400 << 10, pace: 800 << 10, connMillis: 1,
+			},
+		},
+		shiftFrom: "muscat",
+		shiftTo:   "sohar",
+		drain:     resolver.Path{Region: "sohar", Domain: "b"},
+	}
+}
+
+// millis is the mean time that a request holds a slot.
+func (s serviceShape) millis() float64 {
+	if s.pace == 0 {
+		return s.serviceMillis
+	}
+	return s.serviceMillis + 1000*float64(s.bytes)/float64(s.pace)
+}
+
+// rate is how many requests a second use a part of all slots.
+func (s serviceShape) rate(load float64) float64 {
+	return load * float64(s.servers*s.slots) / s.millis() * 1000
+}
+
+// delay is one way between two sites.
+func (s shape) delay(a, b registrar.Site) time.Duration {
+	switch {
+	case a == b:
+		return 0
+	case a.Region() == b.Region():
+		return s.domainDelay
+	}
+	return regionDelay
+}
+
+// clientDelayTo is one way between the callers of a region and a site.
+func (s shape) clientDelayTo(region string, site registrar.Site) time.Duration {
+	if site.Region() == region {
+		return clientDelay
+	}
+	return clientDelay + regionDelay
+}
+
+func (s shape) sites() []registrar.Site {
+	var out []registrar.Site
+	for _, d := range s.daemons {
+		out = append(out, d.site)
+	}
+	return out
+}
+
+// blocksOf are the client blocks of the n-th site.
+func blocksOf(n int) []string {
+	var out []string
+	for i := range blocksPerSite {
+		out = append(out, fmt.Sprintf("10.%d.%d.0", n+1, i))
+	}
+	return out
+}
--- a/internal/standin/server/server.go
+++ b/internal/standin/server/server.go
@@ -199,7 +199,9 @@
 		w.WriteHeader(http.StatusServiceUnavailable)
 		return
 	}
-	defer s.busy.Add(-1)
+	var once sync.Once
+	free := func() { once.Do(func() { s.busy.Add(-1) }) }
+	defer free()
 	s.notePeak()
 	body, err := io.ReadAll(io.LimitReader(r.Body, maxBody))
 	if err != nil {
@@ -212,7 +214,7 @@
 	if !s.work(r) {
 		return
 	}
-	s.answer(w, r, token, body)
+	s.answer(w, r, token, body, free)
 }
 
 func (s *Server) notePeak() {
@@ -259,7 +261,7 @@
 	return time.Duration(x * s.ServiceMillis * float64(time.Millisecond))
 }
 
-func (s *Server) answer(w http.ResponseWriter, r *http.Request, token string, body []byte) {
+func (s *Server) answer(w http.ResponseWriter, r *http.Request, token string, body []byte, free func()) {
 	length := s.Bytes
 	if n, err := strconv.ParseInt(r.URL.Query().Get(payload.ParamBytes), 10, 64); err == nil {
 		length = n
@@ -276,10 +278,14 @@
 		if err != nil {
 			return
 		}
+		sent += int64(n)
+		if sent == length {
+			// The slot is free before the caller can see the end.
+			free()
+		}
 		if _, err := w.Write(piece[:n]); err != nil {
 			return
 		}
-		sent += int64(n)
 		if s.Pace > 0 {
 			due := time.Duration(float64(sent) / float64(s.Pace) * float64(time.Second))
 			time.Sleep(due - time.Since(began))
--- a/internal/version/planner/mover.go
+++ b/internal/version/planner/mover.go
@@ -32,7 +32,7 @@
 	Load struct {
 		// Work is the slots in use by the requests of one origin for one
 		// service, on average.
-		Work map[resolver.ServiceName]map[registrar.Site]float64
+		Work map[resolver.ServiceName]Demand
 		// Stale lists the regions from which no fresh measurement came.
 		// Nothing moves anywhere while there is one: missing is not zero.
 		Stale []string
@@ -54,62 +54,89 @@
 	// Mover moves plans towards their target in steps. The zero value is
 	// ready. It is for one goroutine.
 	Mover struct {
-		credit  map[key]float64
-		updated timekeeper.Millis
-		stepped timekeeper.Millis
+		credit      map[key]float64
+		shiftCredit map[shiftKey]float64
+		spill       spill
+		updated     timekeeper.Millis
+		stepped     timekeeper.Millis
+		// settled tells which services have all routes at their target.
+		settled map[resolver.ServiceName]bool
+		// target is where the traffic of each route is to go, as of this step.
+		target map[key]sharer.Division
 	}
 )
 
 // Step returns the next plan, and whether it differs from the last. Its holds
 // say what waits and why.
 func (m *Mover) Step(in Input) (Plan, bool) {
+	m.begin(in)
 	m.accrue(in)
 	next := in.Last
+	if in.Now-m.stepped >= settle {
+		next.Shifts = m.shiftAll(in)
+	}
+	m.aim(in, next.Shifts)
 	next.Settings = in.Number
 	next.AtMillis = in.Wall
 	next.Routes = nil
 	next.Holds = nil
 	for _, service := range in.Settings.Services {
+		m.settled[service] = true
 		for _, origin := range in.Settings.Sites {
 			m.route(in, &next, key{service, origin})
 		}
 	}
 	next.sort()
 	if sameRoutes(in.Last, next) {
-		return next, !slices.Equal(in.Last.Holds, next.Holds)
+		return next, !slices.Equal(in.Last.Holds, next.Holds) || !slices.Equal(in.Last.Shifts, next.Shifts)
 	}
 	next.Number++
 	m.stepped = in.Now
 	return next, true
 }
 
+func (m *Mover) begin(in Input) {
+	if m.credit != nil {
+		return
+	}
+	m.credit = map[key]float64{}
+	m.shiftCredit = map[shiftKey]float64{}
+	m.settled = map[resolver.ServiceName]bool{}
+	m.spill = spill{}
+	m.updated = in.Now
+	m.stepped = in.Now - settle
+}
+
+// aim works out the target of every route. Without fresh measurements what
+// spills stays as it is.
+func (m *Mover) aim(in Input, shifts []Progress) {
+	if m.target != nil && len(in.Load.Stale) > 0 {
+		return
+	}
+	m.target = map[key]sharer.Division{}
+	for _, service := range in.Settings.Services {
+		for origin, d := range targets(in.Settings, service, in.Load.Work[service], in.Wall, shifts, m.spill) {
+			m.target[key{service, origin}] = d
+		}
+	}
+}
+
 // accrue adds to what each route may move.
 func (m *Mover) accrue(in Input) {
-	if m.credit == nil {
-		m.credit = map[key]float64{}
-		m.updated = in.Now
-		m.stepped = in.Now - settle
-	}
 	since := min(in.Now-m.updated, burst)
 	m.updated = in.Now
-	minutes := float64(since) / float64(timekeeper.Minute)
 	for _, service := range in.Settings.Services {
 		for _, origin := range in.Settings.Sites {
 			k := key{service, origin}
-			have, ok := in.Last.Route(service, origin)
-			if !ok {
-				continue
-			}
-			limit := capFor(in.Settings, k, have, Target(in.Settings, service, origin, in.Wall)) * capMargin
-			most := limit * float64(burst) / float64(timekeeper.Minute)
-			m.credit[k] = min(m.credit[k]+limit*minutes, most)
+			m.credit[k] = grown(m.credit[k], in.Settings.At(origin, service).MoveCap*capMargin, since)
 		}
 	}
+	m.accrueShifts(in, since)
 }
 
 // route adds the route of k to next, moved by as much as is allowed now.
 func (m *Mover) route(in Input, next *Plan, k key) {
-	target := Target(in.Settings, k.service, k.origin, in.Wall)
+	target := m.target[k]
 	have, ok := in.Last.Route(k.service, k.origin)
 	if target == nil {
 		// Nowhere to go. What is in force stays.
@@ -131,6 +158,9 @@
 		}
 		to = step
 	}
+	if to.Distance(target) > smallest {
+		m.settled[k.service] = false
+	}
 	next.Routes = append(next.Routes, Route{k.service, k.origin, to})
 }
 
--- a/internal/version/planner/plan.go
+++ b/internal/version/planner/plan.go
@@ -29,6 +29,9 @@
 		Settings recorder.Number
 		AtMillis timekeeper.Millis
 		Routes   []Route
+		// Shifts is how far each shift has come. Targets follow it, so the cap
+		// of a shift bounds the shift and nothing else that moves.
+		Shifts []Progress `json:",omitempty"`
 		// Holds says, for people, why a move waits.
 		Holds []Hold `json:",omitempty"`
 	}
@@ -40,6 +43,18 @@
 		Division sharer.Division
 	}
 
+	// Progress is how far a shift has come. It outlives the shift in the
+	// settings until all has gone back.
+	Progress struct {
+		Service resolver.ServiceName
+		From    string
+		To      string
+		// Moved is the part of the traffic of From that is moved.
+		Moved float64
+		// Cap is the part that may move in a minute.
+		Cap float64
+	}
+
 	// Hold is a move that waits.
 	Hold struct {
 		Service resolver.ServiceName
@@ -68,6 +83,16 @@
 	return json.Marshal(p)
 }
 
+// Shift returns how far a shift has come.
+func (p Plan) Shift(s resolver.ServiceName, from, to string) Progress {
+	for _, x := range p.Shifts {
+		if x.Service == s && x.From == from && x.To == to {
+			return x
+		}
+	}
+	return Progress{Service: s, From: from, To: to}
+}
+
 // Route returns the division for a service and origin.
 func (p Plan) Route(s resolver.ServiceName, origin registrar.Site) (sharer.Division, bool) {
 	i, ok := slices.BinarySearchFunc(p.Routes, key{s, origin}, func(r Route, k key) int {
--- a/internal/version/planner/target.go
+++ b/internal/version/planner/target.go
@@ -1,37 +1,96 @@
 package planner
 
 import (
+	"math"
+
 	"github.com/gullvale/gullvale/internal/version/resolver"
 	"github.com/gullvale/gullvale/pkg/registrar"
 	"github.com/gullvale/gullvale/pkg/sharer"
 	"github.com/gullvale/gullvale/pkg/timekeeper"
 )
 
-// Target is where the traffic of one origin is to go when every move is done:
-// to the sites of its own region in proportion to their capacity, to all other
-// regions when its own has none left, and from there wherever operators shift
-// it. It needs no measurement, so a fresh deployment steers by it alone.
-func Target(r *resolver.Resolved, service resolver.ServiceName, origin registrar.Site, now timekeeper.Millis) sharer.Division {
-	open := openCapacity(r, service, now)
-	weights := inRegion(open, origin.Region())
-	if len(weights) == 0 {
-		weights = open
-	}
-	d := sharer.Proportional(weights)
-	for _, s := range r.Shifts {
+const (
+	// fill is up to which part of its limit a region is filled before traffic
+	// spills to others.
+	fill = 0.94
+
+	// spillSteps is how finely the part that spills is adjusted. Load is noisy,
+	// and every adjustment moves callers to caches that do not know them.
+	spillSteps = 16
+
+	// spillSlack is how many steps less must be needed before less spills.
+	spillSlack = 2
+)
+
+type (
+	// Demand is the slots in use by the requests of each origin for one
+	// service.
+	Demand map[registrar.Site]float64
+
+	// weights are shares of one origin that need not add to anything.
+	weights map[registrar.Site]float64
+
+	// spill is the part of a region's traffic that goes elsewhere, in steps.
+	spill map[spillKey]int
+
+	spillKey struct {
+		service resolver.ServiceName
+		region  string
+	}
+
+	// regionRoom is what a region may carry and does.
+	regionRoom struct {
+		open weights
+		may  float64
+		use  float64
+	}
+)
+
+// Target is where the traffic of one origin is to go as far as settings alone
+// tell: to the sites of its own region in proportion to their capacity, to all
+// other regions when its own has none left. A fresh deployment steers by it
+// until there is a plan, from which shifts then begin.
+func Target(r *resolver.Resolved, service resolver.ServiceName, origin registrar.Site, wall timekeeper.Millis) sharer.Division {
+	return sharer.Proportional(target(openCapacity(r, service, wall), service, origin, nil))
+}
+
+// targets is where the traffic of all origins is to go with shifts as far as
+// they have come, and with what exceeds the room of a region spilling to those
+// that have some. Without demand nothing spills.
+func targets(r *resolver.Resolved, service resolver.ServiceName, d Demand, wall timekeeper.Millis, shifts []Progress, s spill) map[registrar.Site]sharer.Division {
+	open := openCapacity(r, service, wall)
+	wanted := map[registrar.Site]weights{}
+	for _, origin := range r.Sites {
+		wanted[origin] = target(open, service, origin, shifts)
+	}
+	spillOver(regionRooms(r, service, open, wanted, d), service, wanted, s)
+	out := map[registrar.Site]sharer.Division{}
+	for origin, w := range wanted {
+		out[origin] = sharer.Proportional(w)
+	}
+	return out
+}
+
+func target(open weights, service resolver.ServiceName, origin registrar.Site, shifts []Progress) weights {
+	w := open.in(origin.Region())
+	if len(w) == 0 {
+		w = open.in("")
+	}
+	w = w.normal()
+	for _, s := range shifts {
 		if s.Service == service {
-			d = shifted(d, s, inRegion(open, s.To))
+			w.move(s.From, open.in(s.To), s.Moved)
 		}
 	}
-	return d
+	return w
 }
 
 // openCapacity returns the capacity of each site that takes the service.
-func openCapacity(r *resolver.Resolved, service resolver.ServiceName, now timekeeper.Millis) map[registrar.Site]float64 {
-	out := map[registrar.Site]float64{}
+func openCapacity(r *resolver.Resolved, service resolver.ServiceName, wall timekeeper.Millis) weights {
+	out := weights{}
 	for _, site := range r.Sites {
 		s := r.At(site, service)
-		if s == nil || s.DrainedAt(now) || s.Capacity() == 0 {
+		if s == nil || s.DrainedAt(wall) || s.Capacity() == 0 {
 			continue
 		}
 		out[site] = float64(s.Capacity())
@@ -39,76 +98,108 @@
 	return out
 }
 
-func inRegion(weights map[registrar.Site]float64, region string) map[registrar.Site]float64 {
-	out := map[registrar.Site]float64{}
-	for site, w := range weights {
-		if site.Region() == region {
-			out[site] = w
+// regionRooms adds up, for each region with open sites, what it may carry and
+// what it would.
+func regionRooms(r *resolver.Resolved, service resolver.ServiceName, open weights, wanted map[registrar.Site]weights, d Demand) map[string]*regionRoom {
+	rooms := map[string]*regionRoom{}
+	for site, capacity := range open {
+		room := rooms[site.Region()]
+		if room == nil {
+			room = &regionRoom{open: open.in(site.Region())}
+			rooms[site.Region()] = room
 		}
+		room.may += capacity * r.At(site, service).Limit * fill
 	}
-	return out
+	for origin, w := range wanted {
+		for site, share := range w {
+			rooms[site.Region()].use += d[origin] * share
+		}
+	}
+	return rooms
 }
 
-// shifted moves the share of the shift from the sites of one region to those of
-// another. With nowhere to go the traffic stays.
-func shifted(d sharer.Division, s resolver.Shift, to map[registrar.Site]float64) sharer.Division {
-	if len(to) == 0 {
-		return d
-	}
+// spillOver moves what is too much for a region to regions with room, to each in
+// proportion to its room.
+func spillOver(rooms map[string]*regionRoom, service resolver.ServiceName, wanted map[registrar.Site]weights, s spill) {
+	room := weights{}
 	var total float64
-	for _, w := range to {
-		total += w
-	}
-	weights := map[registrar.Site]float64{}
-	var moved float64
-	for _, p := range d {
-		site := registrar.Site(p.Site)
-		part := p.Share.Fraction()
-		if site.Region() == s.From {
-			moved += part * s.Share
-			part *= 1 - s.Share
+	for _, x := range rooms {
+		if free := x.may - x.use; free > 0 {
+			total += free
+			for site, w := range x.open.normal() {
+				room[site] = free * w
+			}
 		}
-		weights[site] += part
 	}
-	for site, w := range to {
-		weights[site] += moved * w / total
+	if total == 0 {
+		return
+	}
+	for region, x := range rooms {
+		part := s.adjust(spillKey{service, region}, x)
+		if part == 0 {
+			continue
+		}
+		for _, w := range wanted {
+			w.move(region, room, part)
+		}
 	}
-	return sharer.Proportional(weights)
 }
 
-// capFor returns the part of an origin's traffic that may move in a minute
-// between two divisions: the smallest cap of the shifts that the move serves,
-// else what the settings allow for moves in general.
-func capFor(r *resolver.Resolved, k key, from, to sharer.Division) float64 {
-	limit := 0.0
-	for _, s := range r.Shifts {
-		if s.Service == k.service && serves(s, from, to) && (limit == 0 || s.Cap < limit) {
-			limit = s.Cap
-		}
+// adjust returns the part of a region's traffic that spills. It grows as soon
+// as that is needed and shrinks only when clearly less is.
+func (s spill) adjust(k spillKey, x *regionRoom) float64 {
+	need := 0
+	if x.use > x.may {
+		need = int(math.Ceil((1 - x.may/x.use) * spillSteps))
+	}
+	if s == nil {
+		return float64(need) / spillSteps
 	}
-	if limit > 0 {
-		return limit
+	if have := s[k]; need < have && need >= have-spillSlack && have > spillSlack {
+		need = have
 	}
-	if s := r.At(k.origin, k.service); s != nil {
-		return s.MoveCap
+	s[k] = need
+	return float64(need) / spillSteps
+}
+
+// in returns the weights of a region, or all of them for "".
+func (w weights) in(region string) weights {
+	out := weights{}
+	for site, x := range w {
+		if region == "" || site.Region() == region {
+			out[site] = x
+		}
 	}
-	return 0
+	return out
 }
 
-// serves tells whether the move from one division to another takes traffic
-// between the two regions of the shift, in either direction.
-func serves(s resolver.Shift, from, to sharer.Division) bool {
-	a := regionShare(to, s.From) - regionShare(from, s.From)
-	b := regionShare(to, s.To) - regionShare(from, s.To)
-	return (a < 0 && b > 0) || (a > 0 && b < 0)
+// normal returns w scaled to add to 1.
+func (w weights) normal() weights {
+	var sum float64
+	for _, x := range w {
+		sum += x
+	}
+	out := weights{}
+	for site, x := range w {
+		out[site] = x / sum
+	}
+	return out
 }
 
-func regionShare(d sharer.Division, region string) float64 {
-	var t float64
-	for _, p := range d {
-		if registrar.Site(p.Site).Region() == region {
-			t += p.Share.Fraction()
+// move takes a part of what lies in a region to the sites of another. With
+// nowhere to go it stays.
+func (w weights) move(from string, to weights, part float64) {
+	if len(to) == 0 {
+		return
+	}
+	var moved float64
+	for site, x := range w {
+		if site.Region() == from {
+			moved += x * part
+			w[site] = x * (1 - part)
 		}
 	}
-	return t
+	for site, x := range to.normal() {
+		w[site] += moved * x
+	}
 }
