--- a/internal/connection/guarder/conn.go
+++ b/internal/connection/guarder/conn.go
@@ -15,7 +15,9 @@
 	// too; beyond it the head is not kept.
 	MaxHeadBytes = 64 << 10
 
-	refusalHead = "HTTP/1.1 4"
+	// Answers that begin so refuse the request.
+	refusal4 = "HTTP/1.1 4"
+	refusal5 = "HTTP/1.1 5"
 )
 
 // The kinds of refusal that are counted.
@@ -29,8 +31,9 @@
 var (
 	headEnd = []byte("\r\n\r\n")
 	lineEnd = []byte("\r\n")
-	// outcomeField marks the answers that this project's handlers wrote.
-	outcomeField = []byte("Gullvale-Outcome:")
+	// dateField is in every answer of a handler and in none that the server
+	// writes by itself.
+	dateField = []byte("\r\nDate: ")
 	notRunField  = []byte("Gullvale-Outcome: not-run\r\n")
 	lengthField  = []byte("\ncontent-length:")
 )
@@ -132,7 +135,8 @@
 
 // Write marks the refusals that the server writes by itself.
 func (c *Conn) Write(p []byte) (int, error) {
-	if !bytes.HasPrefix(p, []byte(refusalHead)) || bytes.Contains(p, outcomeField) {
+	refuses := bytes.HasPrefix(p, []byte(refusal4)) || bytes.HasPrefix(p, []byte(refusal5))
+	if !refuses || bytes.Contains(p, dateField) {
 		return c.Conn.Write(p)
 	}
 	c.count(KindMalformed)
--- a/internal/connection/pooler/pool.go
+++ b/internal/connection/pooler/pool.go
@@ -248,12 +248,19 @@
 	return free - p.waiting.Len(), slots
 }
 
+// Load returns the load now.
+func (p *Pool) Load() Load {
+	_, slots := p.Free()
+	p.lock.Lock()
+	defer p.lock.Unlock()
+	return Load{Slots: slots, Busy: p.busy(), Waiting: p.waiting.Len(), Peak: p.peak}
+}
+
 // TakeLoad returns the load and the work since the last call.
 func (p *Pool) TakeLoad() (Load, map[registrar.Site]*Work) {
-	_, slots := p.Free()
+	l := p.Load()
 	p.lock.Lock()
 	defer p.lock.Unlock()
-	l := Load{Slots: slots, Busy: p.busy(), Waiting: p.waiting.Len(), Peak: p.peak}
 	p.peak = l.Busy
 	w := p.work
 	p.work = map[registrar.Site]*Work{}
--- a/internal/process/runner/daemon.go
+++ b/internal/process/runner/daemon.go
@@ -278,6 +278,7 @@
 	go d.loopPoll(d.base)
 	go d.loopBlocks(d.base)
 	go d.loopTidy(d.base)
+	go d.loopGauges(d.base)
 }
 
 func (d *Daemon) serve() error {
--- /dev/null
+++ b/internal/process/runner/gauges.go
@@ -0,0 +1,84 @@
+package runner
+
+import (
+	"context"
+	"time"
+
+	"github.com/gullvale/gullvale/internal/connection/pooler"
+	"github.com/gullvale/gullvale/internal/process/measurer"
+	"github.com/gullvale/gullvale/internal/version/steerer"
+)
+
+const gaugeEvery = time.Second
+
+// loopGauges shows the state of the daemon beside its counters.
+func (d *Daemon) loopGauges(ctx context.Context) {
+	t := time.NewTicker(gaugeEvery)
+	defer t.Stop()
+	for {
+		select {
+		case <-ctx.Done():
+			return
+		case <-t.C:
+			d.gauges()
+		}
+	}
+}
+
+func (d *Daemon) gauges() {
+	s := d.snapshot.Load()
+	if s == nil {
+		return
+	}
+	_, leads := d.leader.Lease.Held()
+	c := d.controlStatus()
+	for name, v := range map[string]float64{
+		"settings_number":   float64(s.Number),
+		"plan_number":       float64(s.Plan.Number),
+		"settings_rejected": float64(d.applier.Rejected()),
+		"in_flight":         float64(d.forwarder.InFlight()),
+		"member_valid":      one(d.joiner.Valid()),
+		"lead":              one(leads),
+		"link_bytes_in":     float64(c.LinkBytesIn),
+		"link_bytes_out":    float64(c.LinkBytesOut),
+		"platform_reads":    float64(c.PlatformReads),
+		"platform_writes":   float64(c.PlatformWrites),
+		"platform_watches":  float64(c.PlatformWatches),
+		"platform_bytes":    float64(c.PlatformBytes),
+		"requests_handed":   float64(d.links.Counters().Handed.Load()),
+		"requests_received": float64(d.links.Counters().Received.Load()),
+		"requests_lost":     float64(d.links.Counters().Lost.Load()),
+	} {
+		d.meter.Gauge(name, measurer.Labels{}, v)
+	}
+	d.poolGauges(s)
+}
+
+// poolGauges shows the pools of the daemon, and zeros for the services of its
+// site of which it owns nothing.
+func (d *Daemon) poolGauges(s *steerer.Snapshot) {
+	pools := d.owner.Pools()
+	for _, name := range s.Settings.Services {
+		k := pooler.Key{Site: d.self.Site, Service: name}
+		if _, ok := pools[k]; !ok {
+			pools[k] = nil
+		}
+	}
+	for k, p := range pools {
+		var l pooler.Load
+		if p != nil {
+			l = p.Load()
+		}
+		labels := measurer.Labels{Service: string(k.Service), Kind: string(k.Site)}
+		d.meter.Gauge("owned_slots", labels, float64(l.Slots))
+		d.meter.Gauge("busy_slots", labels, float64(l.Busy))
+		d.meter.Gauge("waiting_requests", labels, float64(l.Waiting))
+	}
+}
+
+func one(b bool) float64 {
+	if b {
+		return 1
+	}
+	return 0
+}
--- a/internal/request/forwarder/forwarder.go
+++ b/internal/request/forwarder/forwarder.go
@@ -331,7 +331,9 @@
 	if x.started {
 		if !r.Whole {
 			// Closing the connection is how HTTP/1.1 says that an answer is
-			// broken.
+			// broken. What there is of it goes first: without its head the
+			// caller could not tell a broken answer from none.
+			_ = http.NewResponseController(x.writer).Flush()
 			panic(http.ErrAbortHandler)
 		}
 		return
--- /dev/null
+++ b/test/bad_input_test.go
@@ -0,0 +1,159 @@
+package integration_test
+
+import (
+	"bufio"
+	"context"
+	"fmt"
+	"io"
+	"net"
+	"net/http"
+	"os"
+	"strings"
+	"testing"
+	"time"
+
+	"github.com/matryer/is"
+)
+
+func writeFile(name, text string) error {
+	return os.WriteFile(name, []byte(text), 0o600)
+}
+
+// TestBadInputIsRefused sends heads that must not reach an upstream, each on a
+// connection of its own. All answers say that nothing ran.
+func TestBadInputIsRefused(t *testing.T) {
+	address := startPlatform(t)
+	upstream := startUpstream(t)
+	d := startDaemon(t, daemonOptions{name: "erie-1", region: "erie", domain: "a", platform: address})
+	d.apply(1, fmt.Sprintf(oneSite, upstream)+"[Service.keg-ledger]\nMaxBodyBytes = 1000\nHosts = [\"ledger\"]\n")
+	const head = "POST /x?Token=bad HTTP/1.1\r\nHost: ledger\r\n"
+	for _, c := range []struct {
+		name, text string
+		status     int
+	}{
+		{"two lengths", head + "Content-Length: 3\r\nContent-Length: 4\r\n\r\nabcd", 400},
+		{"length and chunks", head + "Content-Length: 3\r\nTransfer-Encoding: chunked\r\n\r\n3\r\nabc\r\n0\r\n\r\n", 400},
+		{"unknown coding", head + "Transfer-Encoding: xchunked\r\n\r\n3\r\nabc\r\n0\r\n\r\n", 501},
+		{"blank before colon", head + "Content-Length : 3\r\n\r\nabc", 400},
+		{"no method", " /x HTTP/1.1\r\n\r\n", 400},
+		{"huge head", head + "X: " + strings.Repeat("x", 100<<10) + "\r\n\r\n", 431},
+		{"body over the limit", head + "Content-Length: 1001\r\n\r\n" + strings.Repeat("x", 1001), 413},
+		{"chunks over the limit", head + "Transfer-Encoding: chunked\r\n\r\n" + "7d0\r\n" + strings.Repeat("x", 2000) + "\r\n0\r\n\r\n", 413},
+		{"bad deadline", head + "Gullvale-Deadline-Millis: soon\r\nContent-Length: 0\r\n\r\n", 400},
+		{"bad block", head + "Gullvale-Block: home\r\nContent-Length: 0\r\n\r\n", 400},
+		{"no service", "GET /x HTTP/1.1\r\nHost: other\r\n\r\n", 404},
+	} {
+		t.Run(c.name, func(t *testing.T) {
+			is := is.New(t)
+			conn, err := net.Dial("tcp", d.callers)
+			is.NoErr(err)
+			defer conn.Close()
+			is.NoErr(conn.SetDeadline(time.Now().Add(patience)))
+			go func() { _, _ = io.WriteString(conn, c.text) }()
+			p, err := http.ReadResponse(bufio.NewReader(conn), nil)
+			is.NoErr(err)
+			defer p.Body.Close()
+			is.Equal(p.StatusCode, c.status)
+			is.Equal(p.Header.Get("Gullvale-Outcome"), "not-run")
+		})
+	}
+	is := is.New(t)
+	is.Equal(counts(t, upstream).Journal["bad"], 0)
+	eventually(t, "the refusals are counted", func() bool {
+		p, err := http.Get("http://" + d.operators + "/metrics")
+		is.NoErr(err)
+		defer p.Body.Close()
+		b, err := io.ReadAll(p.Body)
+		is.NoErr(err)
+		return strings.Contains(string(b), `gullvale_heads_refused{class="none",kind="malformed head",service="none"} 5`) &&
+			strings.Contains(string(b), `gullvale_request_reasons{class="short",kind="body too large",service="keg-ledger"} 2`)
+	})
+}
+
+// brokenUpstream answers with a whole head and half a body.
+func brokenUpstream(t *testing.T, head string) string {
+	t.Helper()
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	t.Cleanup(func() { l.Close() })
+	go func() {
+		for {
+			conn, err := l.Accept()
+			if err != nil {
+				return
+			}
+			go func() {
+				defer conn.Close()
+				r, err := http.ReadRequest(bufio.NewReader(conn))
+				if err != nil || r.URL.Path == "/health" {
+					_, _ = io.WriteString(conn, "HTTP/1.1 200 OK\r\nContent-Length: 0\r\nConnection: close\r\n\r\n")
+					return
+				}
+				_, _ = io.WriteString(conn, head)
+			}()
+		}
+	}()
+	return l.Addr().String()
+}
+
+// TestCutAnswerStaysCut has an upstream break off its answer, with and without
+// a length. The caller must not take what it got for the whole.
+func TestCutAnswerStaysCut(t *testing.T) {
+	for name, head := range map[string]string{
+		"length": "HTTP/1.1 200 OK\r\nContent-Length: 100\r\n\r\nhalf",
+		"chunks": "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n4\r\nhalf\r\n",
+	} {
+		t.Run(name, func(t *testing.T) {
+			is := is.New(t)
+			address := startPlatform(t)
+			upstream := brokenUpstream(t, head)
+			d1 := startDaemon(t, daemonOptions{name: "erie-1", region: "erie", domain: "a", platform: address})
+			d2 := startDaemon(t, daemonOptions{name: "erie-2", region: "erie", domain: "a", platform: address})
+			d1.apply(2, fmt.Sprintf(oneSite, upstream))
+			for _, d := range []*daemon{d1, d2} {
+				var p *http.Response
+				eventually(t, "an upstream is owned", func() bool {
+					var err error
+					p, err = d.send(context.Background(), http.MethodGet, "keg-ledger", "/x", nil)
+					is.NoErr(err)
+					return p.StatusCode == http.StatusOK
+				})
+				b, err := io.ReadAll(p.Body)
+				p.Body.Close()
+				is.Equal(string(b), "half")
+				is.True(err != nil) // the answer must not look whole
+			}
+		})
+	}
+}
+
+// TestLostUpstreamIsUnknown has an upstream take a request and hang up. A POST
+// is neither sent again nor called "not run", with a key or without.
+func TestLostUpstreamIsUnknown(t *testing.T) {
+	is := is.New(t)
+	address := startPlatform(t)
+	upstream := brokenUpstream(t, "")
+	d := startDaemon(t, daemonOptions{name: "erie-1", region: "erie", domain: "a", platform: address})
+	d.apply(1, fmt.Sprintf(oneSite, upstream))
+	for _, body := range []string{"", "one sofa"} {
+		for _, key := range []string{"", "k1"} {
+			q, err := http.NewRequest(http.MethodPost, "http://"+d.callers+"/x", strings.NewReader(body))
+			is.NoErr(err)
+			q.Header.Set("Gullvale-Service", "keg-ledger")
+			if key != "" {
+				q.Header.Set("Idempotency-Key", key)
+			}
+			var p *http.Response
+			eventually(t, "an upstream is owned", func() bool {
+				p, err = http.DefaultClient.Do(q)
+				is.NoErr(err)
+				p.Body.Close()
+				return p.Header.Get("Gullvale-Outcome") != "not-run"
+			})
+			is.Equal(p.StatusCode, http.StatusBadGateway)
+			is.Equal(p.Header.Get("Gullvale-Outcome"), "unknown")
+		}
+	}
+}
--- a/test/harness_test.go
+++ b/test/harness_test.go
@@ -244,6 +244,27 @@
 	return p.StatusCode
 }
 
+// metric returns the sum of a metric of the daemon over all its labels.
+func (d *daemon) metric(name string) float64 {
+	d.t.Helper()
+	p, err := http.Get("http://" + d.operators + operator.PathMetrics)
+	if err != nil {
+		return 0
+	}
+	defer p.Body.Close()
+	var sum float64
+	s := bufio.NewScanner(p.Body)
+	for s.Scan() {
+		var v float64
+		if rest, ok := strings.CutPrefix(s.Text(), name+"{"); ok {
+			if _, err := fmt.Sscan(rest[strings.LastIndex(rest, " ")+1:], &v); err == nil {
+				sum += v
+			}
+		}
+	}
+	return sum
+}
+
 // ready waits until the daemon is healthy.
 func (d *daemon) ready() {
 	d.t.Helper()
