test: measurements with real processes

Cause: capacity is to be worked out from slopes, and latency from runs.

Change: benchmarks of look-ups and builds at four table sizes, of an entry's latency, throughput and memory, of idle fleets, changes in force and starts.

--- /dev/null
+++ b/internal/version/steerer/lookup_test.go
@@ -0,0 +1,139 @@
+package steerer_test
+
+import (
+	"encoding/binary"
+	"encoding/json"
+	"fmt"
+	"net/netip"
+	"runtime"
+	"testing"
+
+	"github.com/matryer/is"
+
+	"github.com/gullvale/gullvale/internal/version/locator"
+	"github.com/gullvale/gullvale/internal/version/resolver"
+	"github.com/gullvale/gullvale/internal/version/steerer"
+	"github.com/gullvale/gullvale/pkg/registrar"
+)
+
+// table has n blocks of mixed lengths over the sites.
+func table(tb testing.TB, n int, sites []registrar.Site) *locator.Table {
+	tb.Helper()
+	var b locator.Builder
+	for i := range n {
+		p := netip.PrefixFrom(blockAddress(i), 18+i%7)
+		if err := b.Add(p.Masked(), sites[i%len(sites)]); err != nil {
+			tb.Fatal(err)
+		}
+	}
+	return b.Table()
+}
+
+// blockAddress is an address in the i-th block.
+func blockAddress(i int) netip.Addr {
+	var a [4]byte
+	binary.BigEndian.PutUint32(a[:], uint32(i)*10007<<8)
+	return netip.AddrFrom4(a)
+}
+
+// snapshot has regions of failure domains with one daemon or more each.
+func snapshot(tb testing.TB, regions, domains, daemons, blocks int) *steerer.Snapshot {
+	tb.Helper()
+	var edits []resolver.Edit
+	var rosters []registrar.Roster
+	var sites []registrar.Site
+	for r := range regions {
+		roster := registrar.Roster{Region: fmt.Sprint("r", r)}
+		for d := range domains {
+			site := registrar.Site(fmt.Sprintf("r%d/d%d", r, d))
+			sites = append(sites, site)
+			edits = append(edits, resolver.Edit{
+				Path: string(site) + ":keg-ledger", Key: resolver.KeyUpstreams,
+				Value: resolver.Value(fmt.Sprintf("10.%d.%d.1:80", r, d)),
+			})
+			for n := range daemons {
+				roster.Members = append(roster.Members, registrar.Member{
+					Incarnation: registrar.Incarnation(fmt.Sprintf("i%d-%d-%d", r, d, n)), Site: site,
+					Callers: fmt.Sprintf("10.%d.%d.%d:7100", 100+r, d, n),
+				})
+			}
+		}
+		rosters = append(rosters, roster)
+	}
+	tree, problems := resolver.Tree{}.Apply(edits)
+	if len(problems) > 0 {
+		tb.Fatal(problems)
+	}
+	s, err := steerer.Build(steerer.Parts{
+		Settings: tree.Resolve(), View: registrar.NewView(rosters), Table: table(tb, blocks, sites), Home: sites[0],
+	})
+	if err != nil {
+		tb.Fatal(err)
+	}
+	return s
+}
+
+func TestAnswersNameTheSite(t *testing.T) {
+	is := is.New(t)
+	s := snapshot(t, 3, 2, 2, 1000)
+	firsts := map[string]bool{}
+	for i := range 1000 {
+		b := s.Find(blockAddress(i))
+		var answer steerer.Answer
+		is.NoErr(json.Unmarshal(s.Answer("keg-ledger", b), &answer))
+		is.Equal(answer.Site, s.Site("keg-ledger", b))
+		is.Equal(answer.Site.Region(), b.Origin.Region()) // callers stay in their region
+		is.Equal(len(answer.Entries), 3)
+		firsts[answer.Entries[0].Address] = true
+	}
+	is.Equal(len(firsts), 12) // every entry is the first for some block
+	is.Equal(s.Answer("other", locator.Block{}), nil)
+}
+
+func TestLookupsDoNotAllocate(t *testing.T) {
+	is := is.New(t)
+	s := snapshot(t, 3, 2, 2, 1000)
+	a := netip.MustParseAddr("10.1.2.3")
+	is.Equal(testing.AllocsPerRun(1000, func() { s.Answer("keg-ledger", s.Find(a)) }), 0.0)
+}
+
+// BenchmarkLookup steers look-ups at growing tables of client blocks, in the
+// shape of today (3 regions × 2) and of two years out (7 × 11 sites).
+func BenchmarkLookup(b *testing.B) {
+	for _, blocks := range []int{1000, 10000, 100000, 390000} {
+		for _, shape := range [][3]int{{3, 2, 2}, {7, 11, 7}} {
+			b.Run(fmt.Sprintf("%dblocks/%dsites", blocks, shape[0]*shape[1]), func(b *testing.B) {
+				var before, after runtime.MemStats
+				runtime.GC()
+				runtime.ReadMemStats(&before)
+				s := snapshot(b, shape[0], shape[1], shape[2], blocks)
+				runtime.GC()
+				runtime.ReadMemStats(&after)
+				b.ReportAllocs()
+				i := uint32(0)
+				for b.Loop() {
+					i++
+					var a [4]byte
+					binary.BigEndian.PutUint32(a[:], i*2654435761)
+					s.Answer("keg-ledger", s.Find(netip.AddrFrom4(a)))
+				}
+				b.ReportMetric(float64(after.HeapAlloc-before.HeapAlloc)/(1<<20), "MB")
+			})
+		}
+	}
+}
+
+// BenchmarkBuild makes a snapshot anew, as each change of settings, plan or
+// roster does.
+func BenchmarkBuild(b *testing.B) {
+	for _, shape := range [][3]int{{3, 2, 2}, {7, 3, 7}, {7, 11, 7}} {
+		b.Run(fmt.Sprintf("%dsites", shape[0]*shape[1]), func(b *testing.B) {
+			s := snapshot(b, shape[0], shape[1], shape[2], 100)
+			for b.Loop() {
+				if _, err := steerer.Build(s.Parts); err != nil {
+					b.Fatal(err)
+				}
+			}
+		})
+	}
+}
--- a/test/harness_test.go
+++ b/test/harness_test.go
@@ -38,7 +38,7 @@
 type (
 	// process is one process that a test started.
 	process struct {
-		t      *testing.T
+		t      testing.TB
 		name   string
 		cmd    *exec.Cmd
 		lock   sync.Mutex
@@ -82,7 +82,7 @@
 }
 
 // start runs a binary until the test ends.
-func start(t *testing.T, name string, args ...string) *process {
+func start(t testing.TB, name string, args ...string) *process {
 	t.Helper()
 	p := &process{t: t, name: name, exited: make(chan struct{})}
 	p.cmd = exec.Command(filepath.Join(binaries, name), args...)
@@ -160,7 +160,7 @@
 }
 
 // eventually waits until a condition holds.
-func eventually(t *testing.T, what string, done func() bool) {
+func eventually(t testing.TB, what string, done func() bool) {
 	t.Helper()
 	end := time.Now().Add(patience)
 	for !done() {
@@ -171,19 +171,19 @@
 	}
 }
 
-func startPlatform(t *testing.T) string {
+func startPlatform(t testing.TB) string {
 	t.Helper()
 	p := start(t, "gullvale-standin", "platform")
 	return "http://" + p.field("Address")["Address"].(string)
 }
 
-func startUpstream(t *testing.T, args ...string) string {
+func startUpstream(t testing.TB, args ...string) string {
 	t.Helper()
 	p := start(t, "gullvale-standin", append([]string{"upstream", "--service-millis", "5"}, args...)...)
 	return p.field("Address")["Address"].(string)
 }
 
-func startDaemon(t *testing.T, o daemonOptions) *daemon {
+func startDaemon(t testing.TB, o daemonOptions) *daemon {
 	t.Helper()
 	file := filepath.Join(t.TempDir(), o.name+".toml")
 	text := fmt.Sprintf(`Name = %q
@@ -293,7 +293,7 @@
 }
 
 // fault sets what goes wrong at a stand-in platform.
-func fault(t *testing.T, address string, f platform.Faults) {
+func fault(t testing.TB, address string, f platform.Faults) {
 	t.Helper()
 	b, err := json.Marshal(f)
 	if err != nil {
@@ -307,7 +307,7 @@
 }
 
 // counts returns what a stand-in upstream did.
-func counts(t *testing.T, address string) server.Counts {
+func counts(t testing.TB, address string) server.Counts {
 	t.Helper()
 	p, err := http.Get("http://" + address + "/Journal")
 	if err != nil {
--- /dev/null
+++ b/test/measure_test.go
@@ -0,0 +1,288 @@
+package integration_test
+
+import (
+	"context"
+	"fmt"
+	"io"
+	"net/http"
+	"os"
+	"slices"
+	"strconv"
+	"strings"
+	"sync"
+	"testing"
+	"time"
+
+	"github.com/gullvale/gullvale/internal/process/operator"
+	"github.com/gullvale/gullvale/internal/version/resolver"
+)
+
+// The measurements here start real processes and take real time. They run only
+// on request: go test -run xxx -bench . ./test/
+
+const (
+	ticksPerSecond = 100
+	pageKB         = 4
+)
+
+// cpu returns the processor time that a process has used.
+func (p *process) cpu() time.Duration {
+	b, err := os.ReadFile(fmt.Sprintf("/proc/%d/stat", p.cmd.Process.Pid))
+	if err != nil {
+		p.t.Fatal(err)
+	}
+	f := strings.Fields(string(b[strings.LastIndexByte(string(b), ')')+2:]))
+	user, _ := strconv.Atoi(f[11])
+	system, _ := strconv.Atoi(f[12])
+	return time.Duration(user+system) * time.Second / ticksPerSecond
+}
+
+// rss returns the resident memory of a process in KB.
+func (p *process) rss() float64 {
+	b, err := os.ReadFile(fmt.Sprintf("/proc/%d/statm", p.cmd.Process.Pid))
+	if err != nil {
+		p.t.Fatal(err)
+	}
+	pages, _ := strconv.Atoi(strings.Fields(string(b))[1])
+	return float64(pages * pageKB)
+}
+
+func fleetOf(b *testing.B, platform string, n int) []*daemon {
+	b.Helper()
+	regions := []string{"erie", "michigan", "superior"}
+	var all []*daemon
+	for i := range n {
+		all = append(all, startDaemon(b, daemonOptions{
+			name:     fmt.Sprintf("d-%d", i),
+			region:   regions[i%len(regions)],
+			domain:   []string{"a", "b"}[i/len(regions)%2],
+			platform: platform,
+		}))
+	}
+	return all
+}
+
+// fleetTree has one upstream of keg-ledger in each failure domain.
+func fleetTree(b *testing.B, upstream func() string) string {
+	b.Helper()
+	text := ""
+	for _, r := range []string{"erie", "michigan", "superior"} {
+		for _, d := range []string{"a", "b"} {
+			text += fmt.Sprintf("[Region.%s.Domain.%s.Service.keg-ledger]\nUpstreams = [%q]\n", r, d, upstream())
+		}
+	}
+	return text
+}
+
+// BenchmarkIdle tells what a daemon spends on control while nothing happens.
+func BenchmarkIdle(b *testing.B) {
+	for _, n := range []int{5, 10, 20, 40} {
+		b.Run(fmt.Sprint(n), func(b *testing.B) {
+			address := startPlatform(b)
+			all := fleetOf(b, address, n)
+			upstream := startUpstream(b)
+			ports := 0
+			all[0].apply(n, fleetTree(b, func() string {
+				ports++
+				if ports == 1 {
+					return upstream
+				}
+				return fmt.Sprintf("127.0.0.1:%d", ports)
+			}))
+			const span = 15 * time.Second
+			for b.Loop() {
+				before := spent(all)
+				time.Sleep(span)
+				after := spent(all)
+				report := func(name string, x, y float64) {
+					b.ReportMetric((y-x)/span.Seconds()/float64(n), name)
+				}
+				report("link-B/s", before.link, after.link)
+				report("platform-B/s", before.platform, after.platform)
+				report("platform-calls/s", before.calls, after.calls)
+				report("cpu-ms/s", before.cpu, after.cpu)
+				b.ReportMetric(after.rss/float64(n), "rss-KB")
+			}
+		})
+	}
+}
+
+type spending struct{ link, platform, calls, cpu, rss float64 }
+
+func spent(all []*daemon) spending {
+	var s spending
+	for _, d := range all {
+		var st operator.Status
+		d.call(http.MethodGet, operator.PathStatus, nil, &st)
+		c := st.Control
+		s.link += float64(c.LinkBytesIn + c.LinkBytesOut)
+		s.platform += float64(c.PlatformBytes)
+		// The call for the status itself reads the summaries once.
+		s.calls += float64(c.PlatformReads + c.PlatformWrites + c.PlatformWatches - 1)
+		s.cpu += float64(d.cpu().Milliseconds())
+		s.rss += d.rss()
+	}
+	return s
+}
+
+// BenchmarkInForce makes changes and times each until all daemons run it.
+func BenchmarkInForce(b *testing.B) {
+	for _, n := range []int{5, 10, 20, 40} {
+		b.Run(fmt.Sprint(n), func(b *testing.B) {
+			address := startPlatform(b)
+			all := fleetOf(b, address, n)
+			all[0].apply(n, fmt.Sprintf(oneSite, "127.0.0.1:9"))
+			const changes = 100
+			for b.Loop() {
+				var took []time.Duration
+				for i := range changes {
+					began := time.Now()
+					var a operator.ChangeAnswer
+					all[i%n].call(http.MethodPost, operator.PathChange, operator.ChangeRequest{
+						Edits: []resolver.Edit{{Path: "/", Key: resolver.KeySlots, Value: resolver.Value(fmt.Sprint(i%7 + 1))}},
+					}, &a)
+					for {
+						var f operator.InForceAnswer
+						all[i%n].call(http.MethodGet, fmt.Sprintf("%s?Number=%d", operator.PathInForce, a.Number), nil, &f)
+						if f.InForce == n {
+							break
+						}
+						time.Sleep(2 * time.Millisecond)
+					}
+					took = append(took, time.Since(began))
+				}
+				reportTimes(b, "inforce", took)
+			}
+		})
+	}
+}
+
+func reportTimes(b *testing.B, name string, took []time.Duration) {
+	b.Helper()
+	slices.Sort(took)
+	at := func(q float64) float64 {
+		return float64(took[min(int(q*float64(len(took))), len(took)-1)].Microseconds()) / 1000
+	}
+	b.ReportMetric(at(0.5), name+"-p50-ms")
+	b.ReportMetric(at(0.99), name+"-p99-ms")
+	b.ReportMetric(at(1), name+"-max-ms")
+}
+
+// BenchmarkEntry compares requests through an entry with requests straight to
+// the stand-in upstream, in the same run and alternating, and tells what an
+// entry takes of a processor.
+func BenchmarkEntry(b *testing.B) {
+	address := startPlatform(b)
+	upstream := startUpstream(b, "--service-millis", "0", "--slots", "1000")
+	d := startDaemon(b, daemonOptions{name: "erie-1", region: "erie", domain: "a", platform: address})
+	d.apply(1, fmt.Sprintf("[Region.erie.Domain.a.Service.keg-ledger]\nUpstreams = [%q]\nSlots = 1000\n", upstream))
+	client := &http.Client{Transport: &http.Transport{MaxIdleConnsPerHost: 256}}
+	get := func(to string, n int) time.Duration {
+		q, err := http.NewRequest(http.MethodGet, fmt.Sprintf("http://%s/x?Token=t%d&Bytes=600", to, n), nil)
+		if err != nil {
+			b.Fatal(err)
+		}
+		q.Header.Set("Gullvale-Service", "keg-ledger")
+		began := time.Now()
+		p, err := client.Do(q)
+		if err != nil {
+			b.Fatal(err)
+		}
+		_, _ = io.Copy(io.Discard, p.Body)
+		p.Body.Close()
+		return time.Since(began)
+	}
+	time.Sleep(5 * time.Second) // the ramp of the upstream
+	b.Run("latency", func(b *testing.B) {
+		var direct, entry []time.Duration
+		for n := 0; b.Loop(); n++ {
+			direct = append(direct, get(upstream, n))
+			entry = append(entry, get(d.callers, n))
+		}
+		slices.Sort(direct)
+		slices.Sort(entry)
+		for _, q := range []float64{0.5, 0.99} {
+			i := int(q * float64(len(direct)-1))
+			b.ReportMetric(float64(entry[i])/float64(direct[i]), fmt.Sprintf("p%g-ratio", 100*q))
+			b.ReportMetric(float64((entry[i] - direct[i]).Microseconds()), fmt.Sprintf("p%g-added-us", 100*q))
+		}
+	})
+	b.Run("throughput", func(b *testing.B) {
+		const workers = 32
+		cpu, began := d.cpu(), time.Now()
+		var done sync.WaitGroup
+		for w := range workers {
+			done.Add(1)
+			go func() {
+				defer done.Done()
+				for n := range b.N/workers + 1 {
+					get(d.callers, w*1000000+n)
+				}
+			}()
+		}
+		done.Wait()
+		total := float64(workers * (b.N/workers + 1))
+		b.ReportMetric(total/(d.cpu()-cpu).Seconds(), "requests/core-s")
+		b.ReportMetric(total/time.Since(began).Seconds(), "requests/s")
+	})
+}
+
+// BenchmarkMemory tells what a connection without a request and one with a
+// request under way cost an entry.
+func BenchmarkMemory(b *testing.B) {
+	const count = 1000
+	address := startPlatform(b)
+	upstream := startUpstream(b, "--service-millis", "0", "--slots", "2000", "--pace", "100")
+	d := startDaemon(b, daemonOptions{name: "erie-1", region: "erie", domain: "a", platform: address})
+	d.apply(1, fmt.Sprintf("[Region.erie.Domain.a.Service.keg-ledger]\nUpstreams = [%q]\nSlots = 2000\n", upstream))
+	time.Sleep(5 * time.Second)
+	for b.Loop() {
+		empty := d.rss()
+		ctx, cancel := context.WithCancel(context.Background())
+		client := &http.Client{Transport: &http.Transport{MaxIdleConnsPerHost: count}}
+		var bodies []io.Closer
+		for n := range count {
+			q, err := http.NewRequestWithContext(ctx, http.MethodGet, fmt.Sprintf("http://%s/x?Token=t%d&Bytes=100000", d.callers, n), nil)
+			if err != nil {
+				b.Fatal(err)
+			}
+			q.Header.Set("Gullvale-Service", "keg-ledger")
+			p, err := client.Do(q)
+			if err != nil {
+				b.Fatal(err)
+			}
+			bodies = append(bodies, p.Body)
+		}
+		b.ReportMetric((d.rss()-empty)/count, "active-KB")
+		cancel()
+		for _, x := range bodies {
+			x.Close()
+		}
+	}
+}
+
+// BenchmarkStart times a daemon from its start to its first answer.
+func BenchmarkStart(b *testing.B) {
+	address := startPlatform(b)
+	upstream := startUpstream(b)
+	first := startDaemon(b, daemonOptions{name: "erie-1", region: "erie", domain: "a", platform: address})
+	first.apply(1, fmt.Sprintf(oneSite, upstream))
+	var took []time.Duration
+	for n := 0; b.Loop(); n++ {
+		began := time.Now()
+		d := startDaemon(b, daemonOptions{name: fmt.Sprintf("erie-x%d", n), region: "erie", domain: "a", platform: address, seeds: []string{first.links}})
+		for {
+			p, err := d.send(context.Background(), http.MethodGet, "keg-ledger", "/x?Token=t", nil)
+			if err == nil {
+				p.Body.Close()
+				if p.StatusCode == http.StatusOK {
+					break
+				}
+			}
+			time.Sleep(time.Millisecond)
+		}
+		took = append(took, time.Since(began))
+		d.end()
+	}
+	reportTimes(b, "first-answer", took)
+}
