keykeeper, forwarder, finder, leader, lister: keys run once; damping; VM list

Cause: a caller whose connection broke could only be told "unknown", and nothing kept a repeated key from running twice. Members that come and go could write the roster each time. The platform's list of VMs was not used.

Change: every key has one home that alone may run it: the incarnation named in keys of the finder library, else by rendezvous over all members; rosters remember who went lately, and a home asks all that may have been home before, or says "unknown" when one of them is gone. The finder makes keys for whatever is not idempotent and asks again with them. GET /Outcome. Losses of one address are damped from the third in a minute on. Upstreams on VMs that the platform lists as leaving get nothing new. A randomised run of faults on a fixed seed.

A key that a caller made costs a look at every former home for ten minutes after a change of membership.

--- a/internal/connection/linker/call.go
+++ b/internal/connection/linker/call.go
@@ -169,6 +169,9 @@
 		Relay:        relay,
 		BodyIncluded: c.Body == nil,
 		Body:         c.Short,
+		Key:          c.Key,
+		Held:         c.Held,
+		Look:         c.Look,
 	}
 	if c.Deadline > 0 {
 		m.RemainingMillis = int64(max(c.Deadline-now, 1))
--- a/internal/connection/pooler/owner.go
+++ b/internal/connection/pooler/owner.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"net"
 	"net/http"
 	"sync"
 	"time"
@@ -40,9 +41,10 @@
 		// Probed is called after each probe. Nil means nobody wants to know.
 		Probed func(k Key, upstream string, ok bool)
 
-		lock   sync.RWMutex
-		pools  map[Key]*Pool
-		probes map[string]timekeeper.Millis
+		lock    sync.RWMutex
+		leaving map[string]bool
+		pools   map[Key]*Pool
+		probes  map[string]timekeeper.Millis
 	}
 )
 
@@ -64,6 +66,7 @@
 			o.pools[k] = p
 		}
 		fresh = append(fresh, p.set(w)...)
+		p.setListed(o.leaving)
 	}
 	for k, p := range o.pools {
 		if _, ok := wanted[k]; !ok {
@@ -133,6 +136,28 @@
 	return busy
 }
 
+// SetLeaving tells the IP numbers of VMs that leave. Upstreams there get nothing
+// new, whatever they say themselves.
+func (o *Owner) SetLeaving(addresses map[string]bool) {
+	o.lock.Lock()
+	o.leaving = addresses
+	o.lock.Unlock()
+	for k, p := range o.snapshot() {
+		p.setListed(addresses)
+		o.changed(k)
+	}
+}
+
+func (p *Pool) setListed(addresses map[string]bool) {
+	p.lock.Lock()
+	defer p.lock.Unlock()
+	for _, u := range p.upstreams {
+		host, _, _ := net.SplitHostPort(u.address)
+		u.listed = addresses[host]
+	}
+	p.serve()
+}
+
 // each calls f under the pool's lock for the upstream with the address.
 func (o *Owner) each(address string, f func(*Pool, *upstream)) {
 	for k, p := range o.snapshot() {
--- a/internal/connection/pooler/pool.go
+++ b/internal/connection/pooler/pool.go
@@ -102,7 +102,7 @@
 
 func (p *Pool) anyOwned() bool {
 	for _, u := range p.upstreams {
-		if !u.removed && !u.leaving {
+		if !u.removed && !u.leaving && !u.listed {
 			return true
 		}
 	}
--- a/internal/connection/pooler/upstream.go
+++ b/internal/connection/pooler/upstream.go
@@ -33,6 +33,8 @@
 	claimed bool
 	// leaving tells that the upstream announced that it stops.
 	leaving bool
+	// listed tells that the platform's list of VMs calls its VM leaving.
+	listed bool
 	// removed tells that this daemon is no longer the owner.
 	removed bool
 
@@ -59,7 +61,7 @@
 // limit is how many requests u may have now: none while it is down, leaving or
 // not yet claimed, and a growing number while it warms up.
 func (u *upstream) limit(slots int, now timekeeper.Millis) int {
-	if u.removed || u.leaving || !u.claimed || now < u.downUntil {
+	if u.removed || u.leaving || u.listed || !u.claimed || now < u.downUntil {
 		return 0
 	}
 	doublings := (now - u.upSince) / rampEvery
--- a/internal/process/leader/leader.go
+++ b/internal/process/leader/leader.go
@@ -15,6 +15,7 @@
 	"github.com/gullvale/gullvale/internal/version/replicator"
 	"github.com/gullvale/gullvale/internal/version/resolver"
 	"github.com/gullvale/gullvale/pkg/leaser"
+	"github.com/gullvale/gullvale/pkg/lister"
 	"github.com/gullvale/gullvale/pkg/recorder"
 	"github.com/gullvale/gullvale/pkg/registrar"
 	"github.com/gullvale/gullvale/pkg/storer"
@@ -44,7 +45,7 @@
 )
 
 // Prefixes are the objects that leads watch and pass on.
-var Prefixes = []string{"Settings/", "Plan/", registrar.Prefix}
+var Prefixes = []string{"Settings/", "Plan/", registrar.Prefix, lister.Prefix}
 
 type (
 	// Leader does the duties of a lead while it holds the lease. Set the
@@ -130,7 +131,7 @@
 	if !leading {
 		return a
 	}
-	if l.members.hear(from, h, l.Clock.Now()) {
+	if l.members.hear(from, h, l.Clock.Now(), l.Clock.WallNow()) {
 		l.poke()
 	}
 	a.Known = l.onRoster(from.Incarnation)
@@ -290,10 +291,10 @@
 	if !sealed && !l.inherit(ctx, fence) {
 		return
 	}
-	for _, m := range l.members.lapse(l.Clock.Now()) {
+	for _, m := range l.members.lapse(l.Clock.Now(), l.Clock.WallNow()) {
 		l.Log.WithField("member", m.Name).Info("member lapsed")
 	}
-	list := l.members.list()
+	list, past := l.members.list()
 	l.lock.Lock()
 	next := l.roster
 	at := l.rosters
@@ -308,6 +309,7 @@
 	next.Fence = fence
 	next.Version++
 	next.Members = list
+	next.Past = past
 	l.writeRoster(ctx, next, at)
 }
 
--- a/internal/process/leader/members.go
+++ b/internal/process/leader/members.go
@@ -38,14 +38,19 @@
 type (
 	// members is what a lead knows of the members of its region.
 	members struct {
-		lock sync.Mutex
-		all  map[registrar.Incarnation]*memberRecord
-		work map[workKey]*average
+		lock   sync.Mutex
+		all    map[registrar.Incarnation]*memberRecord
+		work   map[workKey]*average
+		damper Damper
+		// past is the members that went lately.
+		past []registrar.Past
 	}
 
 	memberRecord struct {
-		member   registrar.Member
-		heard    timekeeper.Millis
+		member registrar.Member
+		heard  timekeeper.Millis
+		// since is the wall time at which it was taken in.
+		since    timekeeper.Millis
 		settings recorder.Number
 		plan     planner.Number
 		inFlight uint32
@@ -92,20 +97,24 @@
 		if x.Incarnation == before {
 			heard = now - Silence + rejoin
 		}
-		m.all[x.Incarnation] = &memberRecord{member: x, heard: heard, leaving: x.Leaving}
+		m.all[x.Incarnation] = &memberRecord{member: x, heard: heard, leaving: x.Leaving, since: x.SinceMillis}
 	}
+	m.past = r.Past
 }
 
 // hear notes a heartbeat and reports whether it brings news: the roster must
 // change, or a number in force did.
-func (m *members) hear(from registrar.Member, h *framer.Heartbeat, now timekeeper.Millis) bool {
+func (m *members) hear(from registrar.Member, h *framer.Heartbeat, now, wall timekeeper.Millis) bool {
 	m.lock.Lock()
 	defer m.lock.Unlock()
 	r := m.all[from.Incarnation]
+	if r == nil && m.damper.Holds(from.Links, now) {
+		return false
+	}
 	changed := r == nil || r.leaving != h.Leaving || r.dead ||
 		r.settings != recorder.Number(h.Settings) || r.plan != planner.Number(h.Plan)
 	if r == nil {
-		r = &memberRecord{}
+		r = &memberRecord{since: wall}
 		m.all[from.Incarnation] = r
 		m.replace(from)
 	}
@@ -166,16 +175,22 @@
 
 // lapse drops members that were silent for too long or are known to be dead,
 // and reports whether there were any.
-func (m *members) lapse(now timekeeper.Millis) []registrar.Member {
+func (m *members) lapse(now, wall timekeeper.Millis) []registrar.Member {
 	m.lock.Lock()
 	defer m.lock.Unlock()
 	var gone []registrar.Member
 	for i, r := range m.all {
 		if r.dead || now-r.heard >= Silence {
 			gone = append(gone, r.member)
+			m.past = append(m.past, registrar.Past{Incarnation: i, SinceMillis: r.since, GoneMillis: wall})
 			delete(m.all, i)
+			if !r.leaving {
+				m.damper.Lost(r.member.Links, now)
+			}
 		}
 	}
+	m.damper.Forget(now)
+	m.past = slices.DeleteFunc(m.past, func(p registrar.Past) bool { return p.GoneMillis < wall-registrar.History })
 	return gone
 }
 
@@ -196,16 +211,17 @@
 }
 
 // list returns the members as they stand on the roster.
-func (m *members) list() []registrar.Member {
+func (m *members) list() ([]registrar.Member, []registrar.Past) {
 	m.lock.Lock()
 	defer m.lock.Unlock()
 	var out []registrar.Member
 	for _, r := range m.all {
 		x := r.member
 		x.Leaving = r.leaving
+		x.SinceMillis = r.since
 		out = append(out, x)
 	}
-	return out
+	return out, slices.Clone(m.past)
 }
 
 // summarize fills in what the heartbeats told.
--- a/internal/process/runner/assemble.go
+++ b/internal/process/runner/assemble.go
@@ -13,6 +13,7 @@
 	"github.com/gullvale/gullvale/internal/version/planner"
 	"github.com/gullvale/gullvale/internal/version/resolver"
 	"github.com/gullvale/gullvale/internal/version/steerer"
+	"github.com/gullvale/gullvale/pkg/lister"
 	"github.com/gullvale/gullvale/pkg/recorder"
 	"github.com/gullvale/gullvale/pkg/registrar"
 	"github.com/gullvale/gullvale/pkg/storer"
@@ -52,6 +53,8 @@
 		return d.planChanged(o)
 	case strings.HasPrefix(o.Name, registrar.Prefix):
 		return d.rosterChanged(o)
+	case o.Name == lister.ObjectName:
+		return d.listChanged(o)
 	case o.Name == settingsPrefix+recorder.SnapshotName:
 		return d.snapshotChanged(o)
 	case strings.HasPrefix(o.Name, d.records.ChangePrefix()):
@@ -93,6 +96,17 @@
 	return nil
 }
 
+// listChanged acts on the platform's list of VMs: upstreams on VMs that leave get
+// nothing new.
+func (d *Daemon) listChanged(o storer.Object) error {
+	l, err := lister.Decode(o.Body)
+	if err != nil {
+		return err
+	}
+	d.owner.SetLeaving(l.Leaving())
+	return nil
+}
+
 func (d *Daemon) snapshotChanged(o storer.Object) error {
 	s, err := recorder.DecodeSnapshot(o)
 	if err != nil {
--- a/internal/process/runner/daemon.go
+++ b/internal/process/runner/daemon.go
@@ -27,6 +27,7 @@
 	"github.com/gullvale/gullvale/internal/process/measurer"
 	"github.com/gullvale/gullvale/internal/process/operator"
 	"github.com/gullvale/gullvale/internal/request/forwarder"
+	"github.com/gullvale/gullvale/internal/request/keykeeper"
 	"github.com/gullvale/gullvale/internal/request/looker"
 	"github.com/gullvale/gullvale/internal/version/applier"
 	"github.com/gullvale/gullvale/internal/version/replicator"
@@ -232,6 +233,7 @@
 		Links:    d.links,
 		Meter:    d.meter,
 		Leaving:  d.leaving.Load,
+		Keys:     &keykeeper.Keeper{Clock: d.clock, Retention: d.keyRetention},
 	}
 	d.links.Serve = d.forwarder.RunLinked
 	d.looker = &looker.Looker{Snapshot: d.snapshot.Load, Meter: d.meter}
@@ -335,6 +337,7 @@
 		Name: "callers",
 		Routes: []rest.Route{
 			{Method: http.MethodGet, Path: looker.Path, Handler: d.looker.ServeHTTP},
+			{Method: http.MethodGet, Path: forwarder.PathOutcome, Handler: d.forwarder.ServeOutcome},
 			{Method: http.MethodGet, Path: operator.PathHealth, Handler: d.serveHealth},
 		},
 		Fallback: d.forwarder,
@@ -366,6 +369,13 @@
 	return s.Settings, s.Number
 }
 
+func (d *Daemon) keyRetention() timekeeper.Millis {
+	if s := d.snapshot.Load(); s != nil {
+		return s.Settings.KeyRetention
+	}
+	return keykeeper.DefaultRetention
+}
+
 // healthy tells whether the daemon takes new work.
 func (d *Daemon) healthy() (bool, string) {
 	switch {
--- a/internal/process/runner/sync.go
+++ b/internal/process/runner/sync.go
@@ -4,6 +4,7 @@
 	"context"
 	"errors"
 	"math/rand/v2"
+	"net"
 	"time"
 
 	"github.com/cenkalti/backoff/v5"
@@ -12,6 +13,7 @@
 
 	"github.com/gullvale/gullvale/internal/process/leader"
 	"github.com/gullvale/gullvale/internal/version/planner"
+	"github.com/gullvale/gullvale/pkg/lister"
 	"github.com/gullvale/gullvale/pkg/recorder"
 	"github.com/gullvale/gullvale/pkg/registrar"
 	"github.com/gullvale/gullvale/pkg/storer"
@@ -77,12 +79,13 @@
 		return err
 	}
 	all.Objects = append(all.Objects, changes.Objects...)
-	plan, err := d.store.Get(ctx, planner.ObjectName)
-	switch {
-	case err == nil:
-		all.Objects = append(all.Objects, plan)
-	case !errors.Is(err, storer.ErrNotFound):
-		return err
+	for _, name := range []string{planner.ObjectName, lister.ObjectName} {
+		o, err := d.store.Get(ctx, name)
+		if err == nil {
+			all.Objects = append(all.Objects, o)
+		} else if !errors.Is(err, storer.ErrNotFound) {
+			return err
+		}
 	}
 	d.replica.Put(all)
 	return nil
@@ -92,7 +95,7 @@
 // all that they know.
 func (d *Daemon) syncPeers(ctx context.Context) bool {
 	asked := map[string]bool{d.self.Links: true}
-	todo := append([]string{}, d.config.Seeds...)
+	todo := append(d.listedLinks(ctx), d.config.Seeds...)
 	found := false
 	for len(todo) > 0 {
 		address := todo[0]
@@ -124,6 +127,30 @@
 	return all, eris.Wrapf(err, "peer %s", address)
 }
 
+// listedLinks returns where daemons would listen for links on the VMs of the
+// platform's list, which may answer when the rest of the platform does not.
+func (d *Daemon) listedLinks(ctx context.Context) []string {
+	o, err := d.store.Get(ctx, lister.ObjectName)
+	if err != nil {
+		return nil
+	}
+	l, err := lister.Decode(o.Body)
+	if err != nil {
+		return nil
+	}
+	_, port, err := net.SplitHostPort(d.self.Links)
+	if err != nil {
+		return nil
+	}
+	var out []string
+	for _, v := range l.VMs {
+		if !v.Leaving {
+			out = append(out, net.JoinHostPort(v.Address, port))
+		}
+	}
+	return out
+}
+
 // regionLinks returns the link addresses of the members of our region.
 func (d *Daemon) regionLinks() []string {
 	d.versions.lock.Lock()
--- a/internal/request/exchanger/exchange.go
+++ b/internal/request/exchanger/exchange.go
@@ -40,7 +40,11 @@
 	ReasonPaused         Reason = "membership lapsed"
 	ReasonUnknownService Reason = "unknown service"
 	ReasonBadRequest     Reason = "bad request"
-	ReasonBudget         Reason = "retry budget spent"
+	ReasonHomeLost       Reason = "home of the key lost"
+	ReasonKeyReused      Reason = "key used for another request"
+	ReasonKeysFull       Reason = "too many keys"
+	ReasonKeyAbsent      Reason = "key not known"
+	ReasonNotKept        Reason = "answer not kept"
 )
 
 type (
@@ -87,6 +91,12 @@
 		// Relayed tells that another daemon handed the call over and that it
 		// may go one link further at most, to an owner.
 		Relayed bool
+		// Key is the Idempotency-Key that the call was handed over for, "" for
+		// none. Held tells that the receiver is known to hold the key, Look that
+		// it is only asked whether it does.
+		Key  string
+		Held bool
+		Look bool
 		// Body is nil when there is none. It is read only after Admitted.
 		Body io.Reader
 		// Short holds the whole body when it is short, so that a refused try
--- a/internal/request/forwarder/forwarder.go
+++ b/internal/request/forwarder/forwarder.go
@@ -19,6 +19,7 @@
 	"github.com/gullvale/gullvale/internal/connection/pooler"
 	"github.com/gullvale/gullvale/internal/process/measurer"
 	"github.com/gullvale/gullvale/internal/request/exchanger"
+	"github.com/gullvale/gullvale/internal/request/keykeeper"
 	"github.com/gullvale/gullvale/internal/version/locator"
 	"github.com/gullvale/gullvale/internal/version/resolver"
 	"github.com/gullvale/gullvale/internal/version/steerer"
@@ -49,6 +50,8 @@
 		Meter    *measurer.Meter
 		// Leaving tells that callers should not keep their connections.
 		Leaving func() bool
+		// Keys remembers the requests that carry a key.
+		Keys *keykeeper.Keeper
 
 		budgets  budgets
 		sequence atomic.Uint64
@@ -97,7 +100,16 @@
 	if !ok {
 		return
 	}
-	x.finish(f.run(r.Context(), c, x.service))
+	x.finish(f.runCall(r.Context(), c, x.service))
+}
+
+// runCall runs a call here or, when it carries a key, at the key's home.
+func (f *Forwarder) runCall(ctx context.Context, c *exchanger.Call, s *resolver.Service) exchanger.Result {
+	key := c.Header.Get(HeaderKey)
+	if key == "" || s.Idempotent(c.Method) {
+		return f.run(ctx, c, s)
+	}
+	return f.runKeyed(ctx, c, s, keykeeper.Key(key))
 }
 
 // Names tells whether a request names a service, so that its path is not ours.
@@ -117,6 +129,9 @@
 func (f *Forwarder) RunLinked(ctx context.Context, c *exchanger.Call, relay bool) exchanger.Result {
 	f.inFlight.Add(1)
 	defer f.inFlight.Add(-1)
+	if c.Look {
+		return f.lookLinked(keykeeper.Key(c.Key))
+	}
 	if !relay {
 		return f.Owner.Run(ctx, c)
 	}
@@ -128,6 +143,10 @@
 	if s == nil {
 		return exchanger.Refused(exchanger.ReasonUnknownService, 0)
 	}
+	if c.Key != "" {
+		// A key's home stands in for the entry: it may hand the call on.
+		return f.runLinkedKey(ctx, c, s)
+	}
 	c.Relayed = true
 	return f.run(ctx, c, s)
 }
@@ -349,6 +368,10 @@
 		return http.StatusBadRequest
 	case exchanger.ReasonUnknownService:
 		return http.StatusNotFound
+	case exchanger.ReasonKeyReused:
+		return http.StatusUnprocessableEntity
+	case exchanger.ReasonNotKept:
+		return http.StatusGone
 	}
 	if r.Outcome == exchanger.NotRun {
 		return http.StatusServiceUnavailable
--- /dev/null
+++ b/internal/request/forwarder/keyed.go
@@ -0,0 +1,273 @@
+package forwarder
+
+import (
+	"context"
+	"encoding/json"
+	"net/http"
+	"strconv"
+	"strings"
+
+	"github.com/gullvale/gullvale/internal/request/exchanger"
+	"github.com/gullvale/gullvale/internal/request/keykeeper"
+	"github.com/gullvale/gullvale/internal/version/resolver"
+	"github.com/gullvale/gullvale/internal/version/steerer"
+	"github.com/gullvale/gullvale/pkg/registrar"
+	"github.com/gullvale/gullvale/pkg/timekeeper"
+)
+
+const (
+	// HeaderKey names the field that holds a key.
+	HeaderKey = "Idempotency-Key"
+	// HeaderReplayed marks an answer that was kept from an earlier try.
+	HeaderReplayed = "Gullvale-Replayed"
+
+	// PathOutcome tells what became of a key.
+	PathOutcome = "/Outcome"
+
+	keySeparator = "."
+	maxKeyBytes  = 200
+)
+
+// OutcomeAnswer is the answer to GET /Outcome?Key=….
+type OutcomeAnswer struct {
+	Key     string
+	State   string
+	Outcome string `json:",omitempty"`
+	Reason  string `json:",omitempty"`
+}
+
+// madeBy returns the incarnation that a key of the finder library names.
+func madeBy(key keykeeper.Key) (registrar.Incarnation, bool) {
+	name, _, ok := strings.Cut(string(key), keySeparator)
+	if !ok || len(name) != registrar.IncarnationDigits {
+		return "", false
+	}
+	_, err := strconv.ParseUint(name, 16, 64)
+	return registrar.Incarnation(name), err == nil
+}
+
+// home returns the daemon that alone may run a key. It reports false when that
+// daemon is not a member any more.
+func (f *Forwarder) home(s *steerer.Snapshot, key keykeeper.Key) (registrar.Member, bool) {
+	i, ok := madeBy(key)
+	switch {
+	case !ok:
+		return s.View.Home(string(key))
+	case i == f.Self().Incarnation:
+		// Whatever the rosters say: they may not have come here yet.
+		return f.Self(), true
+	}
+	return s.View.Find(i)
+}
+
+// runKeyed runs a call that carries a key: here if this is the key's home, else
+// there.
+func (f *Forwarder) runKeyed(ctx context.Context, c *exchanger.Call, s *resolver.Service, key keykeeper.Key) exchanger.Result {
+	if len(key) > maxKeyBytes {
+		return exchanger.Refused(exchanger.ReasonBadRequest, 0)
+	}
+	c.Key = string(key)
+	h, ok := f.home(f.Snapshot(), key)
+	switch {
+	case !ok:
+		return exchanger.Lost(exchanger.ReasonHomeLost, "")
+	case h.Incarnation == f.Self().Incarnation:
+		return f.runHome(ctx, c, s, key)
+	}
+	return f.runAt(ctx, c, h)
+}
+
+// runLinkedKey runs a call that was handed over for its key.
+func (f *Forwarder) runLinkedKey(ctx context.Context, c *exchanger.Call, s *resolver.Service) exchanger.Result {
+	h, ok := f.home(f.Snapshot(), keykeeper.Key(c.Key))
+	if !c.Held && (!ok || h.Incarnation != f.Self().Incarnation) {
+		// The sender knows other rosters. Neither may run it before they agree.
+		return exchanger.Lost(exchanger.ReasonHomeLost, "")
+	}
+	return f.runHome(ctx, c, s, keykeeper.Key(c.Key))
+}
+
+// runAt hands a call to a daemon for its key. When that cannot be reached this
+// try did not run, but the key may have run there before.
+func (f *Forwarder) runAt(ctx context.Context, c *exchanger.Call, h registrar.Member) exchanger.Result {
+	p := f.Links.Peer(f.Base, h)
+	wait, cancel := context.WithTimeout(ctx, linkWait.Duration())
+	defer cancel()
+	if !p.Await(wait) || !p.Prompt() {
+		return exchanger.Lost(exchanger.ReasonHomeLost, "")
+	}
+	r := p.Run(ctx, c, true)
+	if r.Outcome == exchanger.NotRun && r.Reason == exchanger.ReasonLinkDial {
+		return exchanger.Lost(exchanger.ReasonHomeLost, "")
+	}
+	return r
+}
+
+// runHome runs a call whose key has its home here, unless the key is known here
+// or where its home may have been before.
+func (f *Forwarder) runHome(ctx context.Context, c *exchanger.Call, s *resolver.Service, key keykeeper.Key) exchanger.Result {
+	r, verdict := f.Keys.Begin(key, printOf(c))
+	switch verdict {
+	case keykeeper.Mismatch:
+		return exchanger.Refused(exchanger.ReasonKeyReused, 0)
+	case keykeeper.Full:
+		return exchanger.Refused(exchanger.ReasonKeysFull, timekeeper.Second)
+	case keykeeper.Repeated:
+		f.count("keys_repeated", c, "")
+		return f.replay(ctx, c, r)
+	}
+	if result, settled := f.runFormer(ctx, c, key); settled {
+		f.Keys.End(key, r, result, nil)
+		return result
+	}
+	return f.runBegun(ctx, c, s, key, r)
+}
+
+// printOf tells the request of a call from others. Of a long body only the length
+// counts: it is not at hand.
+func printOf(c *exchanger.Call) keykeeper.Print {
+	if c.Body != nil {
+		return keykeeper.PrintOf(c.Method, c.Target, strconv.AppendInt(nil, c.Length, 10))
+	}
+	return keykeeper.PrintOf(c.Method, c.Target, c.Short)
+}
+
+// runFormer looks where a key that a caller made may have had its home while it
+// would be remembered. If one of those daemons holds it, it settles the call; if
+// one is gone, nobody can say whether the key ran.
+func (f *Forwarder) runFormer(ctx context.Context, c *exchanger.Call, key keykeeper.Key) (exchanger.Result, bool) {
+	if _, made := madeBy(key); made || c.Held {
+		return exchanger.Result{}, false
+	}
+	view := f.Snapshot().View
+	now := f.Clock.WallNow()
+	for _, i := range view.Homes(string(key), now-f.Keys.Kept(), now) {
+		if i == f.Self().Incarnation {
+			continue
+		}
+		m, ok := view.Find(i)
+		if !ok {
+			return exchanger.Lost(exchanger.ReasonHomeLost, ""), true
+		}
+		look := &exchanger.Call{Head: exchanger.Head{ID: c.ID, Deadline: c.Deadline}, Key: string(key), Look: true}
+		switch r := f.runAt(ctx, look, m); r.Reason {
+		case exchanger.ReasonKeyAbsent:
+			continue
+		case exchanger.ReasonNone:
+			c.Held = true
+			return f.runAt(ctx, c, m), true
+		}
+		return exchanger.Lost(exchanger.ReasonHomeLost, ""), true
+	}
+	return exchanger.Result{}, false
+}
+
+// runBegun runs a call whose key was begun for it. The run goes on when the
+// caller goes away, so that a repeat finds the outcome.
+func (f *Forwarder) runBegun(ctx context.Context, c *exchanger.Call, s *resolver.Service, key keykeeper.Key, r *keykeeper.Record) exchanger.Result {
+	// From here on the call is one without a key: a daemon that relays it is
+	// not asked as the key's home.
+	c.Key, c.Held = "", false
+	var rec keykeeper.Recorder
+	rec.Attach(c)
+	tolerant(c)
+	result := exchanger.Result{Outcome: exchanger.Unknown, Reason: exchanger.ReasonLinkLost}
+	defer func() { f.Keys.End(key, r, result, rec.Answer(result)) }()
+	result = f.run(context.WithoutCancel(ctx), c, s)
+	return result
+}
+
+// tolerant lets the answer be read to its end though the caller went away.
+func tolerant(c *exchanger.Call) {
+	start, write := c.Start, c.Write
+	gone := false
+	c.Start = func(a exchanger.Answer) error {
+		gone = start(a) != nil
+		return nil
+	}
+	c.Write = func(p []byte) error {
+		if !gone {
+			gone = write(p) != nil
+		}
+		return nil
+	}
+}
+
+// replay gives a repeat of a key what the first got, once that is known.
+func (f *Forwarder) replay(ctx context.Context, c *exchanger.Call, r *keykeeper.Record) exchanger.Result {
+	if c.Deadline > 0 {
+		var cancel context.CancelFunc
+		ctx, cancel = context.WithTimeout(ctx, (c.Deadline - f.Clock.Now()).Duration())
+		defer cancel()
+	}
+	result, answer, ended := r.Wait(ctx)
+	switch {
+	case !ended:
+		return exchanger.Lost(exchanger.ReasonDeadline, "")
+	case result.Outcome != exchanger.Answered:
+		return result
+	case answer == nil:
+		return exchanger.Result{Outcome: exchanger.Answered, Reason: exchanger.ReasonNotKept, Upstream: result.Upstream}
+	}
+	a := answer.Answer
+	a.Header = a.Header.Clone()
+	a.Header.Set(HeaderReplayed, "1")
+	if c.Start(a) != nil {
+		return exchanger.Result{Outcome: exchanger.Answered, Reason: exchanger.ReasonCancelled}
+	}
+	if len(answer.Body) > 0 && c.Write(answer.Body) != nil {
+		return exchanger.Result{Outcome: exchanger.Answered, Reason: exchanger.ReasonCancelled}
+	}
+	return exchanger.Result{Outcome: exchanger.Answered, Whole: true, Upstream: result.Upstream}
+}
+
+// ServeOutcome answers GET /Outcome?Key=…. Another daemon's key is answered by a
+// redirect to it.
+func (f *Forwarder) ServeOutcome(w http.ResponseWriter, r *http.Request) {
+	key := keykeeper.Key(r.URL.Query().Get("Key"))
+	a := OutcomeAnswer{Key: string(key), State: "absent"}
+	s := f.Snapshot()
+	if key == "" || s == nil {
+		w.WriteHeader(http.StatusBadRequest)
+		_ = json.NewEncoder(w).Encode(OutcomeAnswer{Reason: "Key is missing"})
+		return
+	}
+	h, ok := f.home(s, key)
+	switch {
+	case !ok:
+		a.Outcome = exchanger.Unknown.String()
+		a.Reason = string(exchanger.ReasonHomeLost)
+	case h.Incarnation != f.Self().Incarnation:
+		http.Redirect(w, r, "http://"+h.Callers+r.URL.RequestURI(), http.StatusTemporaryRedirect)
+		return
+	default:
+		f.look(&a, key)
+	}
+	w.Header().Set("Content-Type", "application/json")
+	_ = json.NewEncoder(w).Encode(a)
+}
+
+// lookLinked answers another daemon that asks whether a key is held here.
+func (f *Forwarder) lookLinked(key keykeeper.Key) exchanger.Result {
+	state, result := f.Keys.Look(key)
+	switch state {
+	case keykeeper.Running:
+		return exchanger.Lost(exchanger.ReasonNone, "")
+	case keykeeper.Ended:
+		result.Reason = exchanger.ReasonNone
+		return result
+	}
+	return exchanger.Refused(exchanger.ReasonKeyAbsent, 0)
+}
+
+func (f *Forwarder) look(a *OutcomeAnswer, key keykeeper.Key) {
+	state, result := f.Keys.Look(key)
+	switch state {
+	case keykeeper.Running:
+		a.State = "running"
+	case keykeeper.Ended:
+		a.State = "ended"
+		a.Outcome = result.Outcome.String()
+		a.Reason = string(result.Reason)
+	}
+}
--- a/internal/version/resolver/key.go
+++ b/internal/version/resolver/key.go
@@ -37,6 +37,7 @@
 	KeyShiftShare        Key = "ShiftShare"
 	KeyShiftCap          Key = "ShiftCap"
 	KeyBlockTable        Key = "BlockTable"
+	KeyKeyRetention      Key = "KeyRetentionMillis"
 )
 
 const (
@@ -103,6 +104,7 @@
 	{Key: KeyShiftTo, form: asText, levels: atRegionService, Help: "region that takes a part of the traffic of this one"},
 	{Key: KeyShiftShare, form: asPercent, levels: atRegionService, max: 100, Help: "part of the region's traffic that the shift moves"},
 	{Key: KeyShiftCap, form: asRate, levels: atRegionService, max: 60000, Help: "how fast the shift moves traffic, in per cent of the region's traffic a minute"},
+	{Key: KeyKeyRetention, form: asCount, levels: atRoot, Default: "600000", min: 1000, max: 600000, Help: "how long an Idempotency-Key is remembered after its request ended"},
 	{Key: KeyBlockTable, form: asText, levels: atRoot, Help: "name of the table that maps client blocks to failure domains"},
 }
 
--- a/internal/version/resolver/resolved.go
+++ b/internal/version/resolver/resolved.go
@@ -54,6 +54,8 @@
 		Sites      []registrar.Site
 		Shifts     []Shift
 		BlockTable string
+		// KeyRetention is how long idempotency keys are remembered.
+		KeyRetention timekeeper.Millis
 
 		at    map[registrar.Site]map[ServiceName]*Service
 		hosts map[string]ServiceName
@@ -84,6 +86,8 @@
 	}
 	v, _ := t.lookup(Path{}, KeyBlockTable)
 	r.BlockTable = string(v)
+	v, _ = t.lookup(Path{}, KeyKeyRetention)
+	r.KeyRetention = timekeeper.Millis(v.int())
 	return r
 }
 
--- a/pkg/finder/finder.go
+++ b/pkg/finder/finder.go
@@ -3,6 +3,8 @@
 import (
 	"bytes"
 	"context"
+	"crypto/rand"
+	"encoding/hex"
 	"encoding/json"
 	"errors"
 	"io"
@@ -12,6 +14,7 @@
 	"net/url"
 	"slices"
 	"strconv"
+	"strings"
 	"sync"
 	"sync/atomic"
 	"time"
@@ -31,6 +34,7 @@
 	headerRetryAfter = "Gullvale-Retry-After-Millis"
 	headerUpstream   = "Gullvale-Upstream"
 	headerEntry      = "Gullvale-Entry"
+	headerKey        = "Idempotency-Key"
 )
 
 const (
@@ -39,6 +43,9 @@
 
 	// maxTries bounds how often one request is sent.
 	maxTries = 4
+
+	// keyBytes is the length of the random part of a key.
+	keyBytes = 12
 )
 
 // The outcomes. The zero value claims least.
@@ -245,6 +252,7 @@
 		end = f.Clock.Now() + r.Deadline
 	}
 	last := Response{Outcome: NotRun, Reason: ErrNoEntry.Error()}
+	key := r.Header.Get(headerKey)
 	for try := 1; try <= maxTries; try++ {
 		l, err := f.Find(ctx, r.Service, r.Block)
 		if err != nil {
@@ -256,7 +264,11 @@
 		if len(l.Entries) == 0 {
 			break
 		}
-		last = f.sendTo(ctx, l.Entries[(try-1)%len(l.Entries)], r, end)
+		e := l.Entries[(try-1)%len(l.Entries)]
+		if r.needsKey() && (key == "" || last.Outcome == NotRun && r.Header.Get(headerKey) == "") {
+			key = newKey(e)
+		}
+		last = f.sendTo(ctx, e, r, key, end)
 		last.Tries = try
 		if !f.again(r, last, end) {
 			break
@@ -276,12 +288,26 @@
 	case NotRun:
 		return p.RetryAfter == 0 && (p.Status == 0 || p.Status == http.StatusServiceUnavailable)
 	case Unknown:
-		return slices.Contains(idempotent, r.Method)
+		// With a key it is safe to ask again: its home knows, or says that
+		// nobody does. Once an entry has said so, that is that.
+		return slices.Contains(idempotent, r.Method) || p.Status == 0
 	}
 	return false
 }
 
-func (f *Finder) sendTo(ctx context.Context, e Entry, r Request, end timekeeper.Millis) Response {
+// needsKey tells whether a request must not run twice.
+func (r Request) needsKey() bool {
+	return !slices.Contains(idempotent, r.Method)
+}
+
+// newKey makes a key that names the entry as its home.
+func newKey(e Entry) string {
+	b := make([]byte, keyBytes)
+	_, _ = rand.Read(b)
+	return e.Incarnation + "." + hex.EncodeToString(b)
+}
+
+func (f *Finder) sendTo(ctx context.Context, e Entry, r Request, key string, end timekeeper.Millis) Response {
 	var sent atomic.Bool
 	t := &httptrace.ClientTrace{WroteHeaders: func() { sent.Store(true) }}
 	q, err := http.NewRequestWithContext(httptrace.WithClientTrace(ctx, t), r.Method, "http://"+e.Address+r.Target, bodyOf(r.Body))
@@ -289,8 +315,8 @@
 		return Response{Outcome: NotRun, Reason: err.Error()}
 	}
 	q.ContentLength = int64(len(r.Body))
-	// Without GetBody and with its own headers in lower case, the transport
-	// does not repeat a request that may have run.
+	// Without GetBody the transport does not repeat a request that may have
+	// run.
 	q.GetBody = nil
 	for n, v := range r.Header {
 		q.Header[n] = v
@@ -302,7 +328,12 @@
 	if end > 0 {
 		q.Header.Set(headerDeadline, strconv.FormatInt(int64(max(end-f.Clock.Now(), 1)), 10))
 	}
-	hideKey(q.Header)
+	if key != "" {
+		// In lower case the transport does not take it as leave to repeat the
+		// request by itself.
+		delete(q.Header, headerKey)
+		q.Header[strings.ToLower(headerKey)] = []string{key}
+	}
 	p, err := f.client().Do(q)
 	if err != nil {
 		return lost(err, sent.Load())
@@ -310,16 +341,6 @@
 	return response(p)
 }
 
-// hideKey keeps the transport from taking an Idempotency-Key as leave to repeat
-// the request by itself.
-func hideKey(h http.Header) {
-	const name = "Idempotency-Key"
-	if v, ok := h[name]; ok {
-		delete(h, name)
-		h["idempotency-key"] = v
-	}
-}
-
 func bodyOf(b []byte) io.Reader {
 	if len(b) == 0 {
 		return http.NoBody
--- a/pkg/registrar/roster.go
+++ b/pkg/registrar/roster.go
@@ -9,11 +9,20 @@
 
 	"github.com/gullvale/gullvale/pkg/hasher"
 	"github.com/gullvale/gullvale/pkg/leaser"
+	"github.com/gullvale/gullvale/pkg/timekeeper"
 )
 
 // Prefix is what the names of roster objects start with.
 const Prefix = "Roster/"
 
+const (
+	// IncarnationDigits is the length of an incarnation, in hexadecimal digits.
+	IncarnationDigits = 16
+
+	// History is how long rosters remember members that went.
+	History = 15 * timekeeper.Minute
+)
+
 type (
 	// Incarnation names one life of one process. A VM that is replaced at the
 	// same address is another incarnation.
@@ -33,6 +42,15 @@
 		Operators string
 		// Leaving is set once the daemon began to stop.
 		Leaving bool
+		// SinceMillis is the wall time at which the lead took it in.
+		SinceMillis timekeeper.Millis
+	}
+
+	// Past is a member that is one no more.
+	Past struct {
+		Incarnation Incarnation
+		SinceMillis timekeeper.Millis
+		GoneMillis  timekeeper.Millis
 	}
 
 	// Roster lists the members of one region.
@@ -41,6 +59,8 @@
 		Fence   leaser.Fence
 		Version uint64
 		Members []Member
+		// Past is the members that went within History.
+		Past []Past `json:",omitempty"`
 	}
 
 	// View is the rosters of all regions together. Build it with NewView; it
@@ -49,6 +69,7 @@
 		members []Member
 		bySite  map[Site][]Member
 		byID    map[Incarnation]Member
+		past    []Past
 	}
 )
 
@@ -100,6 +121,7 @@
 	v := &View{bySite: map[Site][]Member{}, byID: map[Incarnation]Member{}}
 	for _, r := range rosters {
 		v.members = append(v.members, r.Members...)
+		v.past = append(v.past, r.Past...)
 	}
 	sortMembers(v.members)
 	for _, m := range v.members {
@@ -115,7 +137,7 @@
 	if len(away) == 0 {
 		return v
 	}
-	var r Roster
+	r := Roster{Past: v.past}
 	for _, m := range v.members {
 		if !away[m.Incarnation] {
 			r.Members = append(r.Members, m)
--- a/test/measure_test.go
+++ b/test/measure_test.go
@@ -47,9 +47,14 @@
 	return float64(pages * pageKB)
 }
 
-func fleetOf(b *testing.B, platform string, n int) []*daemon {
+// idleSpan is how long an idle fleet is watched.
+const idleSpan = 15 * time.Second
+
+func fleetOf(b *testing.B, platform string, n int, regions ...string) []*daemon {
 	b.Helper()
-	regions := []string{"erie", "michigan", "superior"}
+	if len(regions) == 0 {
+		regions = []string{"erie", "michigan", "superior"}
+	}
 	var all []*daemon
 	for i := range n {
 		all = append(all, startDaemon(b, daemonOptions{
@@ -89,25 +94,47 @@
 				}
 				return fmt.Sprintf("127.0.0.1:%d", ports)
 			}))
-			const span = 15 * time.Second
 			for b.Loop() {
-				before := spent(all)
-				time.Sleep(span)
-				after := spent(all)
-				report := func(name string, x, y float64) {
-					b.ReportMetric((y-x)/span.Seconds()/float64(n), name)
-				}
-				report("link-B/s", before.link, after.link)
-				report("platform-B/s", before.platform, after.platform)
-				report("platform-calls/s", before.calls, after.calls)
-				report("cpu-ms/s", before.cpu, after.cpu)
-				b.ReportMetric(after.rss/float64(n), "rss-KB")
+				reportIdle(b, all)
+			}
+		})
+	}
+}
+
+// reportIdle watches a fleet and reports what one daemon spends, and what all
+// together ask of the platform.
+func reportIdle(b *testing.B, all []*daemon) {
+	b.Helper()
+	before := spent(all)
+	time.Sleep(idleSpan)
+	after := spent(all)
+	n := float64(len(all))
+	report := func(name string, x, y, by float64) {
+		b.ReportMetric((y-x)/idleSpan.Seconds()/by, name)
+	}
+	report("link-B/s", before.link, after.link, n)
+	report("platform-B/s", before.platform, after.platform, n)
+	report("cpu-ms/s", before.cpu, after.cpu, n)
+	report("calls/s", before.calls, after.calls, 1)
+	report("writes/s", before.writes, after.writes, 1)
+	b.ReportMetric(after.rss/n, "rss-KB")
+}
+
+// BenchmarkRegions tells how the calls to the platform grow with regions.
+func BenchmarkRegions(b *testing.B) {
+	names := []string{"r0", "r1", "r2", "r3", "r4", "r5", "r6"}
+	for _, n := range []int{1, 3, 5, 7} {
+		b.Run(fmt.Sprint(n), func(b *testing.B) {
+			all := fleetOf(b, startPlatform(b), 14, names[:n]...)
+			all[0].apply(14, "Limit = \"80%\"\n")
+			for b.Loop() {
+				reportIdle(b, all)
 			}
 		})
 	}
 }
 
-type spending struct{ link, platform, calls, cpu, rss float64 }
+type spending struct{ link, platform, calls, writes, cpu, rss float64 }
 
 func spent(all []*daemon) spending {
 	var s spending
@@ -119,6 +146,7 @@
 		s.platform += float64(c.PlatformBytes)
 		// The call for the status itself reads the summaries once.
 		s.calls += float64(c.PlatformReads + c.PlatformWrites + c.PlatformWatches - 1)
+		s.writes += float64(c.PlatformWrites)
 		s.cpu += float64(d.cpu().Milliseconds())
 		s.rss += d.rss()
 	}
--- /dev/null
+++ b/test/owner_test.go
@@ -0,0 +1,107 @@
+package integration_test
+
+import (
+	"bufio"
+	"bytes"
+	"encoding/json"
+	"fmt"
+	"net/http"
+	"strings"
+	"testing"
+
+	"github.com/matryer/is"
+
+	"github.com/gullvale/gullvale/internal/process/operator"
+	"github.com/gullvale/gullvale/pkg/lister"
+)
+
+// probesOf returns how many probes a daemon has made.
+func probesOf(d *daemon) int {
+	d.t.Helper()
+	p, err := http.Get("http://" + d.operators + operator.PathMetrics)
+	if err != nil {
+		d.t.Fatal(err)
+	}
+	defer p.Body.Close()
+	n := 0
+	s := bufio.NewScanner(p.Body)
+	for s.Scan() {
+		if strings.HasPrefix(s.Text(), "gullvale_probes{") {
+			var v int
+			if _, err := fmt.Sscan(s.Text()[strings.LastIndex(s.Text(), " ")+1:], &v); err == nil {
+				n += v
+			}
+		}
+	}
+	return n
+}
+
+// TestProbesDoNotGrowWithDaemons has six daemons and one upstream. One daemon
+// probes it and keeps connections to it, and no other does.
+func TestProbesDoNotGrowWithDaemons(t *testing.T) {
+	is := is.New(t)
+	address := startPlatform(t)
+	upstream := startUpstream(t)
+	var all []*daemon
+	for i := range 6 {
+		all = append(all, startDaemon(t, daemonOptions{name: fmt.Sprint("erie-", i), region: "erie", domain: "a", platform: address}))
+	}
+	eventually(t, "six members", func() bool { return all[0].state().Members == 6 })
+	all[0].apply(6, fmt.Sprintf(oneSite, upstream)+"ProbeIntervalMillis = 100\n")
+	eventually(t, "one owner", func() bool { return totalSlots(all...) == 6 })
+	x := startTraffic(t, 200, all...)
+	x.flows()
+	eventually(t, "it is probed", func() bool { return counts(t, upstream).Probes >= 20 })
+	owners := 0
+	for _, d := range all {
+		if probesOf(d) > 0 {
+			owners++
+		}
+	}
+	is.Equal(owners, 1)
+	x.judge(upstream)
+	c := counts(t, upstream)
+	is.True(c.Conns <= 12) // slots, a probe's, this test's own, and no multiple of daemons
+	is.Equal(c.Shed, int64(0))
+}
+
+// TestListedVMGetsNothingNew has the platform's list call the VM of an upstream
+// leaving, which the upstream itself does not say.
+func TestListedVMGetsNothingNew(t *testing.T) {
+	is := is.New(t)
+	address := startPlatform(t)
+	upstream := startUpstream(t)
+	d := startDaemon(t, daemonOptions{name: "erie-1", region: "erie", domain: "a", platform: address})
+	d.apply(1, fmt.Sprintf(oneSite, upstream))
+	eventually(t, "it is owned", func() bool { return d.slots() == 6 })
+	body, err := json.Marshal(lister.List{VMs: []lister.VM{{Address: "127.0.0.1", Leaving: true}}})
+	is.NoErr(err)
+	q, err := http.NewRequest(http.MethodPut, address+"/Objects/VMs%2FList", bytes.NewReader(body))
+	is.NoErr(err)
+	q.Header.Set("If-None-Match", "*")
+	p, err := http.DefaultClient.Do(q)
+	is.NoErr(err)
+	p.Body.Close()
+	is.Equal(p.StatusCode, http.StatusOK)
+	eventually(t, "it has no slots any more", func() bool { return d.slots() == 0 })
+}
+
+// TestDrainingUpstreamGetsNothingNew has an upstream say by itself that it leaves,
+// under load.
+func TestDrainingUpstreamGetsNothingNew(t *testing.T) {
+	is := is.New(t)
+	address := startPlatform(t)
+	text, upstreams := twoUpstreams(t)
+	d := startDaemon(t, daemonOptions{name: "erie-1", region: "erie", domain: "a", platform: address})
+	d.apply(1, text)
+	eventually(t, "both are owned", func() bool { return d.slots() == 12 })
+	x := startTraffic(t, 100, d)
+	x.flows()
+	p, err := http.Post("http://"+upstreams[0]+"/Drain", "", nil)
+	is.NoErr(err)
+	p.Body.Close()
+	eventually(t, "it has no slots any more", func() bool { return d.slots() == 6 })
+	x.flows()
+	x.judge(upstreams...)
+	is.Equal(counts(t, upstreams[0]).Late, int64(0)) // nothing new later than 2 s after
+}
--- /dev/null
+++ b/test/random_test.go
@@ -0,0 +1,206 @@
+package integration_test
+
+import (
+	"flag"
+	"fmt"
+	"math/rand/v2"
+	"net/http"
+	"strings"
+	"syscall"
+	"testing"
+	"time"
+
+	"github.com/Shopify/toxiproxy/v2"
+	"github.com/matryer/is"
+
+	"github.com/gullvale/gullvale/internal/process/operator"
+	"github.com/gullvale/gullvale/internal/standin/platform"
+	"github.com/gullvale/gullvale/internal/version/resolver"
+)
+
+// The randomised run is short and on a fixed seed unless asked otherwise.
+var (
+	randomSeed  = flag.Uint64("random.seed", 20261202, "seed of TestRandomFaults")
+	randomSteps = flag.Int("random.steps", 8, "faults of TestRandomFaults")
+)
+
+// chaos is a fleet and the faults that it is under.
+type chaos struct {
+	t        *testing.T
+	random   *rand.Rand
+	platform string
+	daemons  []*daemon
+	proxies  []*proxy
+	paused   map[int]bool
+	cut      map[int]bool
+	numbers  map[string]float64
+	history  []string
+}
+
+// TestRandomFaults breaks and heals a fleet at random under load: pauses, kills,
+// replacements, cut, silent and slow links, a platform that is down, slow or
+// loses answers, changes of settings in between. In the end the fleet must come
+// together, no number may have gone down in any process, and callers' accounts
+// must agree with the upstreams' journals.
+func TestRandomFaults(t *testing.T) {
+	is := is.New(t)
+	c := &chaos{
+		t: t, random: rand.New(rand.NewPCG(*randomSeed, 1)), platform: startPlatform(t),
+		paused: map[int]bool{}, cut: map[int]bool{}, numbers: map[string]float64{},
+	}
+	text, upstreams := twoUpstreams(t)
+	for i := range 4 {
+		d, p := startBehind(t, c.options(i))
+		c.daemons = append(c.daemons, d)
+		c.proxies = append(c.proxies, p)
+	}
+	c.daemons[0].apply(4, text)
+	eventually(t, "all slots are owned", func() bool { return totalSlots(c.daemons...) == 12 })
+	x := startTraffic(t, 60, c.daemons...)
+	x.flows()
+	for range *randomSteps {
+		c.step()
+		// Faults last for a while; nothing is awaited here.
+		time.Sleep(time.Duration(500+c.random.IntN(2500)) * time.Millisecond)
+		c.checkNumbers()
+	}
+	c.heal()
+	t.Logf("seed %d: %s", *randomSeed, strings.Join(c.history, ", "))
+	eventually(t, "the fleet comes together", func() bool { return c.whole() })
+	c.daemons[0].set(4, "77")
+	c.checkNumbers()
+	x.flows()
+	x.judge(upstreams...)
+	for _, d := range c.daemons {
+		is.True(!strings.Contains(d.text(), "panic:"))
+	}
+}
+
+func (c *chaos) options(i int) daemonOptions {
+	return daemonOptions{name: fmt.Sprint("erie-", i), region: "erie", domain: "a", platform: c.platform}
+}
+
+// step lets one thing go wrong, or right again.
+func (c *chaos) step() {
+	i := c.random.IntN(len(c.daemons))
+	what := c.random.IntN(9)
+	c.history = append(c.history, fmt.Sprintf("%d on %d", what, i))
+	switch what {
+	case 0, 1:
+		c.pause(i)
+	case 2:
+		c.replace(i)
+	case 3:
+		c.proxies[i].add(silentForward)
+		c.cut[i] = true
+	case 4:
+		c.proxies[i].add(silentBackward)
+		c.cut[i] = true
+	case 5:
+		fault(c.t, c.platform, platform.Faults{Down: true})
+	case 6:
+		fault(c.t, c.platform, platform.Faults{SlowMillis: 700, LoseAnswers: 20})
+	case 7:
+		c.change(i)
+	case 8:
+		c.heal()
+	}
+}
+
+func (c *chaos) pause(i int) {
+	if c.paused[i] {
+		c.daemons[i].signal(syscall.SIGCONT)
+	} else {
+		c.daemons[i].signal(syscall.SIGSTOP)
+	}
+	c.paused[i] = !c.paused[i]
+}
+
+// replace kills a daemon and starts another behind the same proxy.
+func (c *chaos) replace(i int) {
+	old := c.daemons[i]
+	old.end()
+	c.paused[i] = false
+	delete(c.numbers, old.callers)
+	o := c.options(i)
+	o.advertise = c.proxies[i].Listen
+	o.callers, o.links, o.operators = old.callers, old.linksBound, old.operators
+	for j, d := range c.daemons {
+		if j != i {
+			o.seeds = append(o.seeds, d.links)
+		}
+	}
+	c.daemons[i] = startDaemon(c.t, o)
+}
+
+// change asks for a change of settings. It may fail for any reason but a wrong
+// one.
+func (c *chaos) change(i int) {
+	if c.paused[i] {
+		return
+	}
+	var e operator.ErrorAnswer
+	code := c.daemons[i].call(http.MethodPost, operator.PathChange, operator.ChangeRequest{
+		Edits: []resolver.Edit{{Path: "/", Key: resolver.KeyQueueLength, Value: resolver.Value(fmt.Sprint(60 + c.random.IntN(1000)))}},
+	}, &e)
+	if code != http.StatusOK && code < http.StatusInternalServerError {
+		c.t.Fatalf("change: %d %+v", code, e)
+	}
+}
+
+// heal ends all faults.
+func (c *chaos) heal() {
+	fault(c.t, c.platform, platform.Faults{})
+	for i, p := range c.proxies {
+		if c.paused[i] {
+			c.pause(i)
+		}
+		if c.cut[i] {
+			p.heal()
+			// A proxy keeps what it swallowed from what comes behind it.
+			if err := p.Update(&toxiproxy.Proxy{Listen: p.Listen, Upstream: c.daemons[i].linksBound, Enabled: false}); err != nil {
+				c.t.Fatal(err)
+			}
+			if err := p.Update(&toxiproxy.Proxy{Listen: p.Listen, Upstream: c.daemons[i].linksBound, Enabled: true}); err != nil {
+				c.t.Fatal(err)
+			}
+			c.cut[i] = false
+		}
+	}
+}
+
+// checkNumbers asserts that no number in force went down in a process.
+func (c *chaos) checkNumbers() {
+	for i, d := range c.daemons {
+		if c.paused[i] {
+			continue
+		}
+		st := d.state()
+		for name, n := range map[string]float64{"settings": float64(st.Settings), "plan": float64(st.Plan)} {
+			k := d.callers + name
+			if n < c.numbers[k] {
+				c.t.Fatalf("%s of %s went from %g to %g; seed %d: %v", name, d.name, c.numbers[k], n, *randomSeed, c.history)
+			}
+			c.numbers[k] = n
+		}
+	}
+}
+
+// whole tells whether all daemons are valid members under one lead and own all
+// slots.
+func (c *chaos) whole() bool {
+	leads, slots := 0, 0
+	for _, d := range c.daemons {
+		st := d.state()
+		if !st.Valid || !st.Platform || st.Members != len(c.daemons) || st.InForce != len(c.daemons) {
+			return false
+		}
+		if st.Lead {
+			leads++
+		}
+		for _, o := range st.Owned {
+			slots += o.Slots
+		}
+	}
+	return leads == 1 && slots == 12
+}
