--- a/internal/process/leader/leader.go
+++ b/internal/process/leader/leader.go
@@ -33,8 +33,10 @@
 	// heartbeats of a whole region make a few writes.
 	gather = 20 * time.Millisecond
 
-	// summaryEvery is the time between two summaries without news.
-	summaryEvery = 1 * timekeeper.Second
+	// summaryEvery is the time between two summaries while only the load
+	// changes, summaryLatest that without any change.
+	summaryEvery  = timekeeper.Second
+	summaryLatest = 4 * timekeeper.Second
 
 	// resendAfter is when objects are sent again to a member that does not
 	// show them in its heartbeats.
@@ -72,6 +74,14 @@
 		sealed  bool
 	}
 
+	// summaryState is the summary written last.
+	summaryState struct {
+		Summary
+		at      storer.Revision
+		known   bool
+		written timekeeper.Millis
+	}
+
 	// cursor is up to where a member was sent the relayed objects.
 	cursor struct {
 		lock sync.Mutex
@@ -268,7 +278,7 @@
 func (l *Leader) runDuties(ctx context.Context, fence leaser.Fence) {
 	t := time.NewTicker(tick)
 	defer t.Stop()
-	last := Summary{}
+	last := summaryState{}
 	for {
 		l.dutyRoster(ctx, fence)
 		l.dutySummary(ctx, fence, &last)
@@ -363,45 +373,46 @@
 	return l.Store.Update(ctx, name, body, at)
 }
 
-// dutySummary writes what the region does, at once when a number in force
-// changed and regularly otherwise.
-func (l *Leader) dutySummary(ctx context.Context, fence leaser.Fence, last *Summary) {
+// dutySummary writes what the region does: at once when a number in force
+// changed, soon when the load did, and now and then in any case.
+func (l *Leader) dutySummary(ctx context.Context, fence leaser.Fence, last *summaryState) {
 	now := l.Clock.Now()
 	next := Summary{Region: l.Region, Fence: fence, Sequence: last.Sequence + 1, AtMillis: l.Clock.WallNow()}
-	l.members.peek(&next)
-	if sameNews(*last, next) && l.Clock.WallNow()-last.AtMillis < summaryEvery {
+	l.members.summarize(&next)
+	since := now - last.written
+	if since < summaryEvery && sameNumbers(last.Summary, next) {
 		return
 	}
-	next.Members = nil
-	l.members.summarize(&next, now)
-	body, err := json.Marshal(next)
-	if err != nil {
+	if since < summaryLatest && sameNumbers(last.Summary, next) && sameLoad(last.Summary, next) {
 		return
 	}
-	name := SummaryPrefix + l.Region
-	o, err := l.Store.Get(ctx, name)
-	if err != nil && !errors.Is(err, storer.ErrNotFound) {
+	if !last.known && !l.readSummary(ctx, fence, last) {
 		return
 	}
-	if old, err := DecodeSummary(o.Body); err == nil && staleLead(fence, old.Fence) {
+	body, err := json.Marshal(next)
+	if err != nil {
 		return
 	}
-	if _, err := l.put(ctx, name, body, o.Revision); err == nil {
-		*last = next
+	at, err := l.put(ctx, SummaryPrefix+l.Region, body, last.at)
+	if err != nil {
+		// Another revision, or nobody knows: it is read anew before the next.
+		last.known = false
+		return
 	}
+	*last = summaryState{Summary: next, at: at, known: true, written: now}
 }
 
-// peek fills in the members only, without rolling any average.
-func (m *members) peek(s *Summary) {
-	m.lock.Lock()
-	defer m.lock.Unlock()
-	for _, r := range m.all {
-		s.Members = append(s.Members, MemberState{
-			Name:     r.member.Name,
-			Settings: r.settings,
-			Plan:     r.plan,
-			Leaving:  r.leaving,
-		})
-	}
-	s.sort()
+// readSummary finds the revision of the summary object. It reports false when it
+// cannot, or when a later lead has written there.
+func (l *Leader) readSummary(ctx context.Context, fence leaser.Fence, last *summaryState) bool {
+	o, err := l.Store.Get(ctx, SummaryPrefix+l.Region)
+	if err != nil && !errors.Is(err, storer.ErrNotFound) {
+		return false
+	}
+	if old, err := DecodeSummary(o.Body); err == nil && staleLead(fence, old.Fence) {
+		return false
+	}
+	last.at = o.Revision
+	last.known = true
+	return true
 }
--- a/internal/process/leader/members.go
+++ b/internal/process/leader/members.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"errors"
+	"math"
 	"slices"
 	"sync"
 	"syscall"
@@ -27,8 +28,8 @@
 	// member.
 	rejoin = 1500 * timekeeper.Millis(1)
 
-	// workMemory is over how long the use of slots is averaged.
-	workMemory = 2 * timekeeper.Second
+	// leastUsage is the use of slots below which an origin is forgotten.
+	leastUsage = 0.001
 
 	probeTimeout = 500 * time.Millisecond
 	probeEvery   = 300 * time.Millisecond
@@ -40,7 +41,6 @@
 	members struct {
 		lock   sync.Mutex
 		all    map[registrar.Incarnation]*memberRecord
-		work   map[workKey]*average
 		damper Damper
 		// past is the members that went lately.
 		past []registrar.Past
@@ -53,10 +53,10 @@
 		since    timekeeper.Millis
 		settings recorder.Number
 		plan     planner.Number
-		inFlight uint32
 		leaving  bool
 		dead     bool
 		loads    map[loadKey]*framer.Load
+		work     map[workKey]usage
 	}
 
 	loadKey struct {
@@ -69,18 +69,16 @@
 		origin  registrar.Site
 	}
 
-	// average is a mean that forgets.
-	average struct {
-		slots   float64
-		rate    float64
-		millis  uint64
-		count   uint64
-		updated timekeeper.Millis
+	// usage is the slots in use by an origin's requests, and their rate a
+	// second, at the upstreams of one member.
+	usage struct {
+		slots float64
+		rate  float64
 	}
 )
 
 func newMembers() *members {
-	return &members{all: map[registrar.Incarnation]*memberRecord{}, work: map[workKey]*average{}}
+	return &members{all: map[registrar.Incarnation]*memberRecord{}}
 }
 
 // inherit takes over the members of a roster that another lead wrote. Each has
@@ -122,15 +120,10 @@
 	r.heard = now
 	r.settings = recorder.Number(h.Settings)
 	r.plan = planner.Number(h.Plan)
-	r.inFlight = h.InFlight
 	r.leaving = h.Leaving
 	r.dead = false
-	r.loads = map[loadKey]*framer.Load{}
-	for _, l := range h.Loads {
-		r.loads[loadKey{registrar.Site(l.Site), resolver.ServiceName(l.Service)}] = l
-	}
-	for _, w := range h.Works {
-		m.average(workKey{resolver.ServiceName(w.Service), registrar.Site(w.Origin)}).add(w)
+	if h.SpanMillis > 0 {
+		r.measure(h)
 	}
 	return changed
 }
@@ -145,32 +138,29 @@
 	}
 }
 
-func (m *members) average(k workKey) *average {
-	a := m.work[k]
-	if a == nil {
-		a = &average{}
-		m.work[k] = a
+// measure takes the loads and works of a heartbeat. Half of what was known stays,
+// so that one busy span does not move anybody.
+func (r *memberRecord) measure(h *framer.Heartbeat) {
+	r.loads = map[loadKey]*framer.Load{}
+	for _, l := range h.Loads {
+		r.loads[loadKey{registrar.Site(l.Site), resolver.ServiceName(l.Service)}] = l
 	}
-	return a
-}
-
-func (a *average) add(w *framer.Work) {
-	a.millis += w.SlotMillis
-	a.count += w.Requests
-}
-
-// roll folds what came since the last call into the mean.
-func (a *average) roll(now timekeeper.Millis) {
-	span := now - a.updated
-	if span <= 0 {
-		return
+	work := map[workKey]usage{}
+	for k, u := range r.work {
+		if u.slots > leastUsage {
+			work[k] = usage{u.slots / 2, u.rate / 2}
+		}
 	}
-	part := min(float64(span)/float64(workMemory), 1)
-	a.slots += (float64(a.millis)/float64(span) - a.slots) * part
-	a.rate += (float64(a.count)*1000/float64(span) - a.rate) * part
-	a.millis = 0
-	a.count = 0
-	a.updated = now
+	span := float64(h.SpanMillis)
+	for _, w := range h.Works {
+		k := workKey{resolver.ServiceName(w.Service), registrar.Site(w.Origin)}
+		slots, rate := float64(w.SlotMillis)/span, float64(w.Requests)*1000/span
+		if _, known := r.work[k]; known {
+			slots, rate = slots/2, rate/2
+		}
+		work[k] = usage{work[k].slots + slots, work[k].rate + rate}
+	}
+	r.work = work
 }
 
 // lapse drops members that were silent for too long or are known to be dead,
@@ -225,18 +215,16 @@
 }
 
 // summarize fills in what the heartbeats told.
-func (m *members) summarize(s *Summary, now timekeeper.Millis) {
+func (m *members) summarize(s *Summary) {
 	m.lock.Lock()
 	defer m.lock.Unlock()
+	m.countNumbers(s)
 	loads := map[loadKey]*SiteLoad{}
+	work := map[workKey]usage{}
 	for _, r := range m.all {
-		s.Members = append(s.Members, MemberState{
-			Name:     r.member.Name,
-			Settings: r.settings,
-			Plan:     r.plan,
-			InFlight: r.inFlight,
-			Leaving:  r.leaving,
-		})
+		for k, u := range r.work {
+			work[k] = usage{work[k].slots + u.slots, work[k].rate + u.rate}
+		}
 		for k, l := range r.loads {
 			addLoad(loads, k, l)
 		}
@@ -244,13 +232,34 @@
 	for _, l := range loads {
 		s.Sites = append(s.Sites, *l)
 	}
-	for k, a := range m.work {
-		a.roll(now)
-		s.Work = append(s.Work, OriginWork{Service: k.service, Origin: k.origin, Slots: a.slots, Rate: a.rate})
+	for k, u := range work {
+		s.Work = append(s.Work, OriginWork{Service: k.service, Origin: k.origin, Slots: hundredths(u.slots), Rate: hundredths(u.rate)})
 	}
 	s.sort()
 }
 
+// countNumbers fills in which numbers members run. The caller holds the lock.
+func (m *members) countNumbers(s *Summary) {
+	counts := map[NumberCount]NumberCount{}
+	for _, r := range m.all {
+		k := NumberCount{Settings: r.settings, Plan: r.plan}
+		n := counts[k]
+		n.Settings, n.Plan = r.settings, r.plan
+		n.Members++
+		if r.leaving {
+			n.Leaving++
+		}
+		counts[k] = n
+	}
+	for _, n := range counts {
+		s.Numbers = append(s.Numbers, n)
+	}
+}
+
+func hundredths(f float64) float64 {
+	return math.Round(f*100) / 100
+}
+
 func addLoad(loads map[loadKey]*SiteLoad, k loadKey, l *framer.Load) {
 	t := loads[k]
 	if t == nil {
--- a/internal/process/leader/plan.go
+++ b/internal/process/leader/plan.go
@@ -19,9 +19,7 @@
 	planEvery = 500 * time.Millisecond
 
 	// summaryAge is how old a summary may be for the planner to act on it.
-	summaryAge = 4 * timekeeper.Second
-
-	mostRegions = 100
+	summaryAge = 10 * timekeeper.Second
 )
 
 type (
@@ -30,6 +28,13 @@
 		lease *leaser.Lease
 		mover planner.Mover
 		seen  map[string]seenSummary
+		// since is up to where summaries were read.
+		since storer.Revision
+		// last is the plan as read or written last; known tells that there is
+		// one, at its revision.
+		last  planner.Plan
+		at    storer.Revision
+		known bool
 	}
 
 	// seenSummary is a summary and when it was first seen, by our own clock.
@@ -62,6 +67,7 @@
 		fence, held := lease.Held()
 		if !held {
 			under = 0
+			p.known = false
 			continue
 		}
 		if fence != under {
@@ -88,10 +94,11 @@
 // plan makes one step. With seal it writes the plan in any case, which shuts
 // out a late write of the planner before. It reports whether it could act.
 func (l *Leader) plan(ctx context.Context, p *planning, fence leaser.Fence, seal bool) bool {
-	last, at, err := l.readPlan(ctx)
-	if err != nil || last.Fence > fence {
+	if err := l.readPlan(ctx, p); err != nil || p.last.Fence > fence {
+		p.known = false
 		return false
 	}
+	last := p.last
 	if err := l.readSummaries(ctx, p); err != nil {
 		return false
 	}
@@ -116,22 +123,29 @@
 		return true
 	}
 	next.Fence = fence
-	return l.writePlan(ctx, p, next, at)
+	return l.writePlan(ctx, p, next)
 }
 
-func (l *Leader) readPlan(ctx context.Context) (planner.Plan, storer.Revision, error) {
+// readPlan reads the plan unless it is known from the last write.
+func (l *Leader) readPlan(ctx context.Context, p *planning) error {
+	if p.known {
+		return nil
+	}
 	o, err := l.Store.Get(ctx, planner.ObjectName)
-	if errors.Is(err, storer.ErrNotFound) {
-		return planner.Plan{}, 0, nil
+	if err != nil && !errors.Is(err, storer.ErrNotFound) {
+		return err
 	}
-	if err != nil {
-		return planner.Plan{}, 0, err
+	p.last, p.at = planner.Plan{}, o.Revision
+	if err == nil {
+		if p.last, err = planner.Decode(o.Body); err != nil {
+			return err
+		}
 	}
-	plan, err := planner.Decode(o.Body)
-	return plan, o.Revision, err
+	p.known = true
+	return nil
 }
 
-func (l *Leader) writePlan(ctx context.Context, p *planning, next planner.Plan, at storer.Revision) bool {
+func (l *Leader) writePlan(ctx context.Context, p *planning, next planner.Plan) bool {
 	body, err := next.Encode()
 	if err != nil {
 		return false
@@ -139,16 +153,23 @@
 	if _, held := p.lease.Held(); !held {
 		return false
 	}
-	_, err = l.put(ctx, planner.ObjectName, body, at)
-	return err == nil
+	at, err := l.put(ctx, planner.ObjectName, body, p.at)
+	if err != nil {
+		// Another revision, or nobody knows: it is read anew.
+		p.known = false
+		return false
+	}
+	p.last, p.at = next, at
+	return true
 }
 
 // readSummaries notes which summaries moved on since the last look.
 func (l *Leader) readSummaries(ctx context.Context, p *planning) error {
-	b, err := l.Store.List(ctx, SummaryPrefix, "", mostRegions)
+	b, err := l.Store.Watch(ctx, []string{SummaryPrefix}, p.since, 0)
 	if err != nil {
 		return err
 	}
+	p.since = b.Revision
 	now := l.Clock.Now()
 	for _, o := range b.Objects {
 		s, err := DecodeSummary(o.Body)
@@ -166,15 +187,10 @@
 // inForce tells whether every member of every region runs a plan.
 func (l *Leader) inForce(p *planning, n planner.Number) bool {
 	for region, members := range l.regions() {
-		s, ok := p.seen[region]
-		if !ok || len(s.summary.Members) < members {
+		s := p.seen[region].summary
+		if have, _ := s.Members(); have < members || !s.runsPlan(n) {
 			return false
 		}
-		for _, m := range s.summary.Members {
-			if m.Plan < n {
-				return false
-			}
-		}
 	}
 	return true
 }
--- a/internal/process/leader/summary.go
+++ b/internal/process/leader/summary.go
@@ -2,6 +2,7 @@
 
 import (
 	"encoding/json"
+	"math"
 	"slices"
 	"strings"
 
@@ -18,6 +19,10 @@
 // SummaryPrefix is what the names of summary objects start with.
 const SummaryPrefix = "Summary/"
 
+// loadStep is the change of a site's use, as a part of its slots, that is worth a
+// summary before the next regular one.
+const loadStep = 0.1
+
 type (
 	// Summary is what a lead tells of its region.
 	Summary struct {
@@ -25,19 +30,19 @@
 		Fence    leaser.Fence
 		Sequence uint64
 		AtMillis timekeeper.Millis
-		// Members is what each member runs.
-		Members []MemberState
+		// Numbers is how many members run which numbers, so that the summary
+		// does not grow with the members.
+		Numbers []NumberCount
 		Sites   []SiteLoad
 		Work    []OriginWork
 	}
 
-	// MemberState is the numbers in force in one member.
-	MemberState struct {
-		Name     string
+	// NumberCount is the members that run the same numbers.
+	NumberCount struct {
 		Settings recorder.Number
 		Plan     planner.Number
-		InFlight uint32
-		Leaving  bool `json:",omitempty"`
+		Members  int
+		Leaving  int `json:",omitempty"`
 	}
 
 	// SiteLoad is the use of the slots of one service at one site.
@@ -66,8 +71,38 @@
 	return s, eris.Wrap(json.Unmarshal(body, &s), "summary")
 }
 
+// Members is how many members the region has, and how many of them leave.
+func (s Summary) Members() (all, leaving int) {
+	for _, n := range s.Numbers {
+		all += n.Members
+		leaving += n.Leaving
+	}
+	return all, leaving
+}
+
+// InForce is how many members run settings number n or a later one.
+func (s Summary) InForce(n recorder.Number) int {
+	count := 0
+	for _, x := range s.Numbers {
+		if x.Settings >= n {
+			count += x.Members
+		}
+	}
+	return count
+}
+
+// runsPlan tells whether all members run plan number n or a later one.
+func (s Summary) runsPlan(n planner.Number) bool {
+	return !slices.ContainsFunc(s.Numbers, func(x NumberCount) bool { return x.Plan < n })
+}
+
 func (s *Summary) sort() {
-	slices.SortFunc(s.Members, func(a, b MemberState) int { return strings.Compare(a.Name, b.Name) })
+	slices.SortFunc(s.Numbers, func(a, b NumberCount) int {
+		if a.Settings != b.Settings {
+			return int(a.Settings) - int(b.Settings)
+		}
+		return int(a.Plan) - int(b.Plan)
+	})
 	slices.SortFunc(s.Sites, func(a, b SiteLoad) int {
 		return strings.Compare(string(a.Site)+" "+string(a.Service), string(b.Site)+" "+string(b.Service))
 	})
@@ -76,10 +111,16 @@
 	})
 }
 
-// sameNews tells whether b says nothing new beside a that is worth a write
-// before the next regular one.
-func sameNews(a, b Summary) bool {
-	return slices.EqualFunc(a.Members, b.Members, func(x, y MemberState) bool {
-		return x.Name == y.Name && x.Settings == y.Settings && x.Plan == y.Plan && x.Leaving == y.Leaving
+// sameNumbers tells whether two summaries tell of the same numbers in force.
+func sameNumbers(a, b Summary) bool {
+	return slices.Equal(a.Numbers, b.Numbers)
+}
+
+// sameLoad tells whether no site's use changed by more than a part of its slots.
+func sameLoad(a, b Summary) bool {
+	return slices.EqualFunc(a.Sites, b.Sites, func(x, y SiteLoad) bool {
+		most := float64(x.Slots) * loadStep
+		return x.Site == y.Site && x.Service == y.Service && x.Slots == y.Slots &&
+			math.Abs(float64(x.Busy)-float64(y.Busy)) <= most
 	})
 }
--- a/internal/process/operator/api.go
+++ b/internal/process/operator/api.go
@@ -179,6 +179,7 @@
 		LinkBytesIn     uint64
 		LinkBytesOut    uint64
 		LinkFrames      uint64
+		RequestsHanded  uint64
 		PlatformReads   uint64
 		PlatformWrites  uint64
 		PlatformWatches uint64
--- a/internal/process/runner/control.go
+++ b/internal/process/runner/control.go
@@ -15,10 +15,20 @@
 	"github.com/gullvale/gullvale/internal/process/leader"
 	"github.com/gullvale/gullvale/internal/process/measurer"
 	"github.com/gullvale/gullvale/pkg/storer"
+	"github.com/gullvale/gullvale/pkg/timekeeper"
 )
 
-// announceEvery is the least time between two announcements of free slots.
-const announceEvery = 5 * time.Millisecond
+const (
+	// announceEvery is the least time between two announcements of free slots.
+	announceEvery = 5 * time.Millisecond
+
+	// Loads are reported at the latest after measureLatest, and at the soonest
+	// after measureSoonest when a pool's use changed by measureStep of its
+	// slots: reports are most of what a member tells its lead.
+	measureSoonest = timekeeper.Second
+	measureLatest  = 4 * timekeeper.Second
+	measureStep    = 0.25
+)
 
 // control handles the frames of control streams.
 func (d *Daemon) control(s *linker.Session, f framer.Frame) {
@@ -80,8 +90,23 @@
 	h.Revision = uint64(d.replica.Revision())
 	h.Leaving = d.leaving.Load()
 	h.InFlight = uint32(d.forwarder.InFlight())
-	for k, p := range d.owner.Pools() {
+	d.measure(h)
+}
+
+// measure adds loads and works to a heartbeat: now and then, and soon when the use
+// of a pool changed much.
+func (d *Daemon) measure(h *framer.Heartbeat) {
+	now := d.clock.Now()
+	span := now - d.measured
+	pools := d.owner.Pools()
+	if span < measureSoonest || span < measureLatest && !d.usesChanged(pools) {
+		return
+	}
+	d.measured = now
+	h.SpanMillis = uint32(span)
+	for k, p := range pools {
 		l, work := p.TakeLoad()
+		d.reported[k] = l.Busy
 		if l.Slots > 0 || l.Busy > 0 {
 			h.Loads = append(h.Loads, &framer.Load{
 				Service: string(k.Service),
@@ -103,6 +128,18 @@
 	}
 }
 
+// usesChanged tells whether a pool's use is far from what was reported last.
+func (d *Daemon) usesChanged(pools map[pooler.Key]*pooler.Pool) bool {
+	for k, p := range pools {
+		l := p.Load()
+		change := l.Busy - d.reported[k]
+		if float64(max(change, -change)) > float64(l.Slots)*measureStep {
+			return true
+		}
+	}
+	return false
+}
+
 func (d *Daemon) selfBeat(h *framer.Heartbeat) *framer.Ack {
 	return d.leader.Hear(d.Self(), nil, h)
 }
--- a/internal/process/runner/daemon.go
+++ b/internal/process/runner/daemon.go
@@ -105,7 +105,11 @@
 		looker    *looker.Looker
 		changer   *changer.Changer
 		announcer announcer
-		suspects  suspects
+		// measured is when loads were last reported, reported what was then.
+		// Only the goroutine that beats uses them.
+		measured timekeeper.Millis
+		reported map[pooler.Key]int
+		suspects suspects
 
 		stopped sync.Once
 	}
@@ -116,11 +120,12 @@
 func New(o Options) (*Daemon, error) {
 	proc.SetTimeToForceQuit(forever)
 	d := &Daemon{
-		config:  o.Config,
-		clock:   o.Clock,
-		log:     o.Log.WithField("daemon", o.Config.Name),
-		options: o,
-		rebuild: make(chan struct{}, 1),
+		config:   o.Config,
+		clock:    o.Clock,
+		log:      o.Log.WithField("daemon", o.Config.Name),
+		options:  o,
+		rebuild:  make(chan struct{}, 1),
+		reported: map[pooler.Key]int{},
 	}
 	d.base, d.cancel = context.WithCancel(context.Background())
 	if err := d.listen(); err != nil {
--- a/internal/process/runner/status.go
+++ b/internal/process/runner/status.go
@@ -53,11 +53,7 @@
 func countInForce(all []leader.Summary, n recorder.Number) int {
 	count := 0
 	for _, s := range all {
-		for _, m := range s.Members {
-			if m.Settings >= n {
-				count++
-			}
-		}
+		count += s.InForce(n)
 	}
 	return count
 }
@@ -125,12 +121,8 @@
 }
 
 func regionStatus(settings *resolver.Resolved, x leader.Summary) operator.RegionStatus {
-	r := operator.RegionStatus{Region: x.Region, Members: len(x.Members), Fence: uint64(x.Fence)}
-	for _, m := range x.Members {
-		if m.Leaving {
-			r.Leaving++
-		}
-	}
+	r := operator.RegionStatus{Region: x.Region, Fence: uint64(x.Fence)}
+	r.Members, r.Leaving = x.Members()
 	for _, l := range x.Sites {
 		i := slices.IndexFunc(r.Services, func(s operator.ServiceStatus) bool { return s.Service == l.Service })
 		if i < 0 {
@@ -157,6 +149,7 @@
 		LinkBytesIn:     l.ControlIn.Load(),
 		LinkBytesOut:    l.ControlOut.Load(),
 		LinkFrames:      l.Frames.Load(),
+		RequestsHanded:  l.Handed.Load(),
 		PlatformReads:   p.Reads.Load(),
 		PlatformWrites:  p.Writes.Load(),
 		PlatformWatches: p.Watches.Load(),
--- a/internal/version/planner/target.go
+++ b/internal/version/planner/target.go
@@ -51,7 +51,29 @@
 // other regions when its own has none left. A fresh deployment steers by it
 // until there is a plan, from which shifts then begin.
 func Target(r *resolver.Resolved, service resolver.ServiceName, origin registrar.Site, wall timekeeper.Millis) sharer.Division {
-	return sharer.Proportional(target(openCapacity(r, service, wall), service, origin, nil))
+	var t Targets
+	return t.Of(r, service, origin, wall)
+}
+
+// Targets works out targets without measurements, and remembers what they have in
+// common. The zero value is ready; it serves one service.
+type Targets struct {
+	open     weights
+	byRegion map[string]sharer.Division
+}
+
+// Of is the same as Target.
+func (t *Targets) Of(r *resolver.Resolved, service resolver.ServiceName, origin registrar.Site, wall timekeeper.Millis) sharer.Division {
+	if t.open == nil {
+		t.open = openCapacity(r, service, wall)
+		t.byRegion = map[string]sharer.Division{}
+	}
+	d, ok := t.byRegion[origin.Region()]
+	if !ok {
+		d = sharer.Proportional(target(t.open, service, origin, nil))
+		t.byRegion[origin.Region()] = d
+	}
+	return d
 }
 
 // targets is where the traffic of all origins is to go with shifts as far as
--- a/internal/version/resolver/resolver_test.go
+++ b/internal/version/resolver/resolver_test.go
@@ -1,6 +1,8 @@
 package resolver_test
 
 import (
+	"fmt"
+	"path/filepath"
 	"strings"
 	"testing"
 
@@ -8,8 +10,6 @@
 	"github.com/rogpeppe/go-internal/txtar"
 	"pgregory.net/rapid"
 
-	"path/filepath"
-
 	"github.com/gullvale/gullvale/internal/version/resolver"
 )
 
@@ -148,3 +148,34 @@
 		}
 	})
 }
+
+// BenchmarkChange applies one edit and works out all effective settings anew, as
+// every daemon does for every change.
+func BenchmarkChange(b *testing.B) {
+	const services = 5
+	for _, sites := range []int{6, 25, 75} {
+		b.Run(fmt.Sprint(sites), func(b *testing.B) {
+			var edits []resolver.Edit
+			for i := range sites {
+				for s := range services {
+					var list []string
+					for n := range 10 {
+						list = append(list, fmt.Sprintf("10.%d.%d.%d:80", i, s, n))
+					}
+					edits = append(edits, resolver.Edit{
+						Path: fmt.Sprintf("r%d/d%d:s%d", i%7, i, s), Key: resolver.KeyUpstreams,
+						Value: resolver.Value(strings.Join(list, ",")),
+					})
+				}
+			}
+			tree, problems := resolver.Tree{}.Apply(edits)
+			if len(problems) > 0 {
+				b.Fatal(problems)
+			}
+			for b.Loop() {
+				next, _ := tree.Apply([]resolver.Edit{{Path: "/", Key: resolver.KeySlots, Value: "5"}})
+				next.Resolve()
+			}
+		})
+	}
+}
--- a/internal/version/steerer/snapshot.go
+++ b/internal/version/steerer/snapshot.go
@@ -3,6 +3,7 @@
 import (
 	"encoding/json"
 	"net/netip"
+	"slices"
 
 	"github.com/rotisserie/eris"
 
@@ -79,32 +80,48 @@
 func Build(p Parts) (*Snapshot, error) {
 	s := &Snapshot{Parts: p, routes: map[routeKey]*route{}, answers: map[answerKey][][]byte{}}
 	for _, service := range p.Settings.Services {
-		for _, origin := range p.Settings.Sites {
-			if err := s.addRoute(service, origin); err != nil {
-				return nil, err
-			}
+		if err := s.addService(service); err != nil {
+			return nil, err
 		}
 	}
 	return s, nil
 }
 
-func (s *Snapshot) addRoute(service resolver.ServiceName, origin registrar.Site) error {
-	d, ok := s.Plan.Route(service, origin)
-	if !ok {
-		d = planner.Target(s.Settings, service, origin, s.Wall)
+// addService adds the routes of a service. Origins of one region mostly divide
+// alike, and then share one route.
+func (s *Snapshot) addService(service resolver.ServiceName) error {
+	var targets planner.Targets
+	var last *route
+	var lastDivision sharer.Division
+	for _, origin := range s.Settings.Sites {
+		d, ok := s.Plan.Route(service, origin)
+		if !ok {
+			d = targets.Of(s.Settings, service, origin, s.Wall)
+		}
+		if last == nil || !slices.Equal(d, lastDivision) {
+			r, err := s.newRoute(service, d)
+			if err != nil {
+				return err
+			}
+			last, lastDivision = r, d
+		}
+		s.routes[routeKey{service, origin}] = last
 	}
+	return nil
+}
+
+func (s *Snapshot) newRoute(service resolver.ServiceName, d sharer.Division) (*route, error) {
 	r := &route{hash: hasher.OfString(string(service)), chooser: sharer.NewChooser(d)}
 	for _, name := range r.chooser.Sites() {
 		site := registrar.Site(name)
 		a, err := s.answersFor(service, site)
 		if err != nil {
-			return err
+			return nil, err
 		}
 		r.sites = append(r.sites, site)
 		r.answers = append(r.answers, a)
 	}
-	s.routes[routeKey{service, origin}] = r
-	return nil
+	return r, nil
 }
 
 // answersFor renders the answers for a site once: one for each entry that may
@@ -120,8 +137,9 @@
 		return nil, nil
 	}
 	var out [][]byte
+	spares := s.spares(site, members, set.Entries)
 	for first := range members {
-		b, err := s.render(set, members, first)
+		b, err := s.render(set, members, first, spares)
 		if err != nil {
 			return nil, err
 		}
@@ -131,7 +149,7 @@
 	return out, nil
 }
 
-func (s *Snapshot) render(set *resolver.Service, members []registrar.Member, first int) ([]byte, error) {
+func (s *Snapshot) render(set *resolver.Service, members []registrar.Member, first int, spares []Entry) ([]byte, error) {
 	a := Answer{
 		Service:        set.Name,
 		Site:           set.Site,
@@ -139,18 +157,21 @@
 		Settings:       s.Number,
 		Plan:           s.Plan.Number,
 	}
-	for i := range members {
+	for i := range min(len(members), set.Entries) {
 		m := members[(first+i)%len(members)]
 		a.Entries = append(a.Entries, Entry{Address: m.Callers, Incarnation: m.Incarnation})
 	}
-	a.Entries = append(a.Entries, s.spares(set.Site, members)...)
+	a.Entries = append(a.Entries, spares...)
 	a.Entries = a.Entries[:min(len(a.Entries), set.Entries)]
 	b, err := json.Marshal(a)
 	return b, eris.Wrap(err, "render look-up answer")
 }
 
-// spares are the other entries of the region, for when all of a site are lost.
-func (s *Snapshot) spares(site registrar.Site, members []registrar.Member) []Entry {
+// spares are other entries of the region, for when all of a site are lost.
+func (s *Snapshot) spares(site registrar.Site, members []registrar.Member, most int) []Entry {
+	if len(members) >= most {
+		return nil
+	}
 	used := map[registrar.Incarnation]bool{}
 	for _, m := range members {
 		used[m.Incarnation] = true
--- a/test/faults_test.go
+++ b/test/faults_test.go
@@ -39,7 +39,7 @@
 
 	// traffic is callers in the background.
 	traffic struct {
-		t      *testing.T
+		t      testing.TB
 		load   caller.Load
 		cancel context.CancelFunc
 		done   sync.WaitGroup
@@ -81,7 +81,7 @@
 }
 
 // startTraffic has callers ask all daemons for keg-ledger until the test ends.
-func startTraffic(t *testing.T, rate float64, daemons ...*daemon) *traffic {
+func startTraffic(t testing.TB, rate float64, daemons ...*daemon) *traffic {
 	t.Helper()
 	var seeds []string
 	for _, d := range daemons {
--- a/test/measure_test.go
+++ b/test/measure_test.go
@@ -115,11 +115,41 @@
 	report("link-B/s", before.link, after.link, n)
 	report("platform-B/s", before.platform, after.platform, n)
 	report("cpu-ms/s", before.cpu, after.cpu, n)
-	report("calls/s", before.calls, after.calls, 1)
+	// Asking for the status before cost one call of each daemon.
+	report("calls/s", before.calls+n, after.calls, 1)
 	report("writes/s", before.writes, after.writes, 1)
 	b.ReportMetric(after.rss/n, "rss-KB")
 }
 
+// BenchmarkLoaded tells what control costs while requests pass: reports of loads,
+// and the free slots that owners tell the daemons of their site.
+func BenchmarkLoaded(b *testing.B) {
+	for _, rate := range []float64{100, 300, 900} {
+		b.Run(fmt.Sprint(rate), func(b *testing.B) {
+			all := fleetOf(b, startPlatform(b), 12)
+			all[0].apply(12, fleetTree(b, func() string { return startUpstream(b) }))
+			x := startTraffic(b, rate, all...)
+			x.flows()
+			for b.Loop() {
+				handed := handedBy(all)
+				reportIdle(b, all)
+				b.ReportMetric((handedBy(all)-handed)/idleSpan.Seconds(), "handed/s")
+			}
+			x.cancel()
+			x.done.Wait()
+		})
+	}
+}
+
+// handedBy counts the requests that daemons handed to others.
+func handedBy(all []*daemon) float64 {
+	var n float64
+	for _, d := range all {
+		n += float64(d.state().Control.RequestsHanded)
+	}
+	return n
+}
+
 // BenchmarkRegions tells how the calls to the platform grow with regions.
 func BenchmarkRegions(b *testing.B) {
 	names := []string{"r0", "r1", "r2", "r3", "r4", "r5", "r6"}
@@ -144,8 +174,7 @@
 		c := st.Control
 		s.link += float64(c.LinkBytesIn + c.LinkBytesOut)
 		s.platform += float64(c.PlatformBytes)
-		// The call for the status itself reads the summaries once.
-		s.calls += float64(c.PlatformReads + c.PlatformWrites + c.PlatformWatches - 1)
+		s.calls += float64(c.PlatformReads + c.PlatformWrites + c.PlatformWatches)
 		s.writes += float64(c.PlatformWrites)
 		s.cpu += float64(d.cpu().Milliseconds())
 		s.rss += d.rss()
@@ -236,25 +265,42 @@
 		}
 	})
 	b.Run("throughput", func(b *testing.B) {
-		const workers = 32
-		cpu, began := d.cpu(), time.Now()
-		var done sync.WaitGroup
-		for w := range workers {
-			done.Add(1)
-			go func() {
-				defer done.Done()
-				for n := range b.N/workers + 1 {
-					get(d.callers, w*1000000+n)
-				}
-			}()
-		}
-		done.Wait()
-		total := float64(workers * (b.N/workers + 1))
-		b.ReportMetric(total/(d.cpu()-cpu).Seconds(), "requests/core-s")
-		b.ReportMetric(total/time.Since(began).Seconds(), "requests/s")
+		reportThroughput(b, d, func(n int) { get(d.callers, n) })
+	})
+	b.Run("lookups", func(b *testing.B) {
+		reportThroughput(b, d, func(int) {
+			p, err := client.Get("http://" + d.callers + "/Lookup?Service=keg-ledger&Block=10.1.2.3")
+			if err != nil {
+				b.Fatal(err)
+			}
+			_, _ = io.Copy(io.Discard, p.Body)
+			p.Body.Close()
+		})
 	})
 }
 
+// reportThroughput has many callers at once and tells what a daemon takes of a
+// processor.
+func reportThroughput(b *testing.B, d *daemon, ask func(n int)) {
+	b.Helper()
+	const workers = 32
+	cpu, began := d.cpu(), time.Now()
+	var done sync.WaitGroup
+	for w := range workers {
+		done.Add(1)
+		go func() {
+			defer done.Done()
+			for n := range b.N/workers + 1 {
+				ask(w*1000000 + n)
+			}
+		}()
+	}
+	done.Wait()
+	total := float64(workers * (b.N/workers + 1))
+	b.ReportMetric(total/(d.cpu()-cpu).Seconds(), "per-core-s")
+	b.ReportMetric(total/time.Since(began).Seconds(), "per-s")
+}
+
 // BenchmarkMemory tells what a connection without a request and one with a
 // request under way cost an entry.
 func BenchmarkMemory(b *testing.B) {
