test, runner: look for data races in the daemons too

Cause: go test -race watched the tests only, not the processes they start.

The joiner now starts first. Two tests reused what may be used once: a request body, and a key for two bodies.

--- a/internal/process/runner/daemon.go
+++ b/internal/process/runner/daemon.go
@@ -285,9 +285,9 @@
 	if !d.syncFirst(d.base) {
 		return
 	}
+	d.joiner.Start(d.base)
 	go d.loopRebuild(d.base)
 	d.trigger()
-	d.joiner.Start(d.base)
 	go d.claimer.Run(d.base)
 	go d.owner.RunUpkeep(d.base)
 	go d.announcer.loop(d.base, d.owner, d.links)
--- a/test/bad_input_test.go
+++ b/test/bad_input_test.go
@@ -138,15 +138,15 @@
 	d := startDaemon(t, daemonOptions{name: "erie-1", region: "erie", domain: "a", platform: address})
 	d.apply(1, fmt.Sprintf(oneSite, upstream))
 	for _, body := range []string{"", "one sofa"} {
-		for _, key := range []string{"", "k1"} {
-			q, err := http.NewRequest(http.MethodPost, "http://"+d.callers+"/x", strings.NewReader(body))
-			is.NoErr(err)
-			q.Header.Set("Gullvale-Service", "keg-ledger")
-			if key != "" {
-				q.Header.Set("Idempotency-Key", key)
-			}
+		for _, key := range []string{"", "key of " + body} {
 			var p *http.Response
 			eventually(t, "an upstream is owned", func() bool {
+				q, err := http.NewRequest(http.MethodPost, "http://"+d.callers+"/x", strings.NewReader(body))
+				is.NoErr(err)
+				q.Header.Set("Gullvale-Service", "keg-ledger")
+				if key != "" {
+					q.Header.Set("Idempotency-Key", key)
+				}
 				p, err = http.DefaultClient.Do(q)
 				is.NoErr(err)
 				p.Body.Close()
--- a/test/harness_test.go
+++ b/test/harness_test.go
@@ -78,7 +78,8 @@
 		os.Exit(1)
 	}
 	binaries = dir
-	build := exec.Command("go", "build", "-o", dir, "../cmd/...")
+	args := append([]string{"build"}, buildFlags...)
+	build := exec.Command("go", append(args, "-o", dir, "../cmd/...")...)
 	if out, err := build.CombinedOutput(); err != nil {
 		fmt.Fprintf(os.Stderr, "build: %v\n%s", err, out)
 		os.Exit(1)
@@ -112,6 +113,9 @@
 	_ = p.cmd.Process.Signal(syscall.SIGCONT)
 	_ = p.cmd.Process.Kill()
 	<-p.exited
+	if strings.Contains(p.text(), "DATA RACE") {
+		p.t.Errorf("%s has a data race", p.name)
+	}
 	if p.t.Failed() {
 		p.t.Logf("output of %s:\n%s", p.name, p.text())
 	}
--- /dev/null
+++ b/test/norace_test.go
@@ -0,0 +1,5 @@
+//go:build !race
+
+package integration_test
+
+var buildFlags []string
