--- a/pkg/leaser/lease_test.go
+++ b/pkg/leaser/lease_test.go
@@ -2,10 +2,12 @@
 
 import (
 	"context"
+	"fmt"
 	"net/http/httptest"
 	"testing"
 
 	"github.com/matryer/is"
+	"pgregory.net/rapid"
 
 	"github.com/gullvale/gullvale/internal/standin/platform"
 	"github.com/gullvale/gullvale/pkg/leaser"
@@ -22,11 +24,16 @@
 
 func newBench(t *testing.T) *bench {
 	t.Helper()
-	b := &bench{platform: &platform.Server{}, now: 1}
-	s := httptest.NewServer(b.platform)
+	address, p := newServer(t)
+	return &bench{platform: p, address: address, now: 1}
+}
+
+func newServer(t *testing.T) (string, *platform.Server) {
+	t.Helper()
+	p := &platform.Server{}
+	s := httptest.NewServer(p)
 	t.Cleanup(s.Close)
-	b.address = s.URL
-	return b
+	return s.URL, p
 }
 
 func (b *bench) lease(holder string) *leaser.Lease {
@@ -123,6 +130,55 @@
 	is.True(held(x))
 }
 
+// TestNeverTwoHolders has four candidates on clocks of unequal rate, with random
+// pauses, outages and lost answers, and asks all of them after every step. At most
+// one holds the lease at any moment, and fences only grow.
+func TestNeverTwoHolders(t *testing.T) {
+	address, p := newServer(t)
+	n := 0
+	rapid.Check(t, func(t *rapid.T) {
+		n++
+		ctx := context.Background()
+		var real float64
+		var all []*leaser.Lease
+		for i := range 4 {
+			// One part in fifty is far more than clocks of VMs differ by.
+			rate := rapid.Float64Range(0.98, 1.02).Draw(t, "rate")
+			all = append(all, &leaser.Lease{
+				Store:  &storer.Client{Address: address},
+				Name:   fmt.Sprint("Lease/Random", n),
+				Holder: fmt.Sprint("h", i),
+				Clock:  timekeeper.Clock{Monotonic: func() timekeeper.Millis { return timekeeper.Millis(1 + real*rate) }},
+			})
+		}
+		var highest leaser.Fence
+		for range rapid.IntRange(20, 80).Draw(t, "steps") {
+			real += rapid.Float64Range(0, 1200).Draw(t, "time")
+			p.SetFaults(platform.Faults{
+				Down:        rapid.IntRange(0, 9).Draw(t, "down") == 0,
+				LoseAnswers: rapid.SampledFrom([]int{0, 0, 0, 1}).Draw(t, "lost"),
+			})
+			// Whoever does not step is paused, or slow.
+			all[rapid.IntRange(0, len(all)-1).Draw(t, "candidate")].Step(ctx)
+			holders := 0
+			for _, l := range all {
+				fence, ok := l.Held()
+				if !ok {
+					continue
+				}
+				holders++
+				if fence < highest {
+					t.Fatalf("%s holds with fence %d behind %d", l.Holder, fence, highest)
+				}
+				highest = fence
+			}
+			if holders > 1 {
+				t.Fatalf("%d holders", holders)
+			}
+		}
+	})
+}
+
 func TestReleaseFreesAtOnce(t *testing.T) {
 	is := is.New(t)
 	ctx := context.Background()
--- a/test/faults_test.go
+++ b/test/faults_test.go
@@ -250,6 +250,7 @@
 	t.Logf("covered after %s", time.Since(began).Round(time.Millisecond))
 	x.flows()
 
+	began = time.Now()
 	fresh := startDaemon(t, daemonOptions{name: "erie-9", region: "erie", domain: "a", platform: address, seeds: []string{rest[0].links}})
 	fresh.ready()
 	eventually(t, "the new daemon forwards", func() bool {
@@ -260,6 +261,7 @@
 		p.Body.Close()
 		return p.StatusCode == http.StatusOK
 	})
+	t.Logf("a new daemon forwards after %s without the platform", time.Since(began).Round(time.Millisecond))
 
 	fault(t, address, platform.Faults{})
 	rest[0].set(3, "33")
@@ -278,10 +280,13 @@
 	all[0].apply(3, text)
 	x := startTraffic(t, 50, all...)
 	lead, others := leadOf(t, all...)
+	plan := lead.state().Plan
 	lead.signal(syscall.SIGSTOP)
 	began := time.Now()
 	second, _ := leadOf(t, others...)
 	t.Logf("another leads after %s", time.Since(began).Round(time.Millisecond))
+	eventually(t, "another planner seals the plan", func() bool { return second.state().Plan > plan })
+	t.Logf("another plans after %s", time.Since(began).Round(time.Millisecond))
 	eventually(t, "the paused member is off the roster", func() bool {
 		return second.state().Members == 2
 	})
--- /dev/null
+++ b/test/rolling_test.go
@@ -0,0 +1,64 @@
+package integration_test
+
+import (
+	"context"
+	"fmt"
+	"net/http"
+	"syscall"
+	"testing"
+
+	"github.com/matryer/is"
+
+	"github.com/gullvale/gullvale/internal/standin/payload"
+)
+
+// TestRollingReplacement replaces every daemon of a fleet in turn under load, with
+// exports in flight through each of them. No request is cut, refused or left with
+// an unknown outcome, and every daemon exits 0.
+func TestRollingReplacement(t *testing.T) {
+	const length = 4 << 20
+	is := is.New(t)
+	address := startPlatform(t)
+	text, upstreams := twoUpstreams(t)
+	depot := startUpstream(t, "--pace", fmt.Sprint(length/8), "--slots", "20")
+	text += fmt.Sprintf("[Region.erie.Domain.a.Service.manifest-depot]\nUpstreams = [%q]\nSlots = 20\nDeadlineMillis = 0\n", depot)
+	all := trio(t, address)
+	all[0].apply(3, text)
+	eventually(t, "all slots are owned", func() bool { return totalSlots(all...) == 32 })
+	x := startTraffic(t, 100, all...)
+	x.flows()
+	exports := make(chan error, len(all))
+	for i, d := range all {
+		var p *http.Response
+		eventually(t, "the export begins", func() bool {
+			var err error
+			p, err = d.send(context.Background(), http.MethodGet, "manifest-depot", fmt.Sprintf("/x?Token=export%d&Bytes=%d", i, length), nil)
+			is.NoErr(err)
+			return p.StatusCode == http.StatusOK
+		})
+		go func() {
+			defer p.Body.Close()
+			_, err := payload.Verify(p.Body, payload.New(fmt.Sprint("export", i), nil, length))
+			exports <- err
+		}()
+	}
+	fleet := append([]*daemon(nil), all...)
+	for i, old := range all {
+		fresh := startDaemon(t, daemonOptions{name: fmt.Sprint("erie-new-", i), region: "erie", domain: "a", platform: address})
+		eventually(t, "the new daemon is a member", func() bool { return fresh.state().Valid })
+		old.signal(syscall.SIGTERM)
+		is.Equal(old.exit(), 0)
+		fleet[i] = fresh
+		x.flows()
+	}
+	for range all {
+		is.NoErr(<-exports)
+	}
+	eventually(t, "all slots are owned", func() bool { return totalSlots(fleet...) == 32 })
+	a := x.judge(upstreams...)
+	is.Equal(a.Unknown, uint64(0))
+	is.Equal(a.NotRun, uint64(0))
+	for _, u := range upstreams {
+		is.Equal(counts(t, u).Shed, int64(0))
+	}
+}
