steerer, runner, planner: callers of places without upstreams; outages end whole

Cause: a failure domain's only daemon, killed and started again while the platform was down, left its callers without entries: the daemon of the next domain, whose own domain is not in the settings, had no route for its own callers ("no entry serves keg-ledger"), in or out of an outage.

Change: every region and "anywhere" have a route of their own, and origins that the plan does not know count by the nearest that it does, in look-ups and in the planner's accounts; members at the daemon's own address are former lives and are left out; what was found away in an outage stays away until a roster says so; relays pass over members that are known to be gone. Ticker loops became timekeeper.Every, commands that ask a daemon share their beginning.

A daemon cut off from everything serves what it has and catches up.

Ruled out: a fault of the hand-over; the upstream was owned all the time.

--- a/internal/connection/linker/manager.go
+++ b/internal/connection/linker/manager.go
@@ -132,6 +132,13 @@
 	return p
 }
 
+// Known returns the link to a member, up or not, nil when there is none.
+func (m *Manager) Known(i registrar.Incarnation) *Peer {
+	m.lock.Lock()
+	defer m.lock.Unlock()
+	return m.peers[i]
+}
+
 // Linked returns the link to a member if it is up now.
 func (m *Manager) Linked(i registrar.Incarnation) *Peer {
 	m.lock.Lock()
--- a/internal/connection/pooler/owner.go
+++ b/internal/connection/pooler/owner.go
@@ -225,16 +225,7 @@
 
 // RunUpkeep sees to ramps, returns from back-off and probes until ctx ends.
 func (o *Owner) RunUpkeep(ctx context.Context) {
-	t := time.NewTicker(tick)
-	defer t.Stop()
-	for {
-		select {
-		case <-ctx.Done():
-			return
-		case <-t.C:
-			o.upkeep(ctx)
-		}
-	}
+	timekeeper.Every(ctx, tick, func() { o.upkeep(ctx) })
 }
 
 func (o *Owner) upkeep(ctx context.Context) {
--- a/internal/process/commander/root.go
+++ b/internal/process/commander/root.go
@@ -1,6 +1,7 @@
 package commander
 
 import (
+	"context"
 	"encoding/json"
 	"fmt"
 	"io"
@@ -86,6 +87,17 @@
 	fmt.Fprintln(errs, err)
 }
 
+// asking makes a command that needs a daemon to ask.
+func asking(f func(ctx context.Context, cl *client, args []string) error) func(*cobra.Command, []string) error {
+	return func(c *cobra.Command, args []string) error {
+		cl, err := newClient()
+		if err != nil {
+			return err
+		}
+		return f(c.Context(), cl, args)
+	}
+}
+
 // show prints an answer as JSON, or calls text.
 func (a *app) show(v any, text func()) error {
 	if a.output == outputJSON {
@@ -141,21 +153,17 @@
 		Use:   "load NAME FILE",
 		Short: "Store a table of lines `BLOCK REGION/DOMAIN`; put it in force with `settings set / BlockTable=NAME`",
 		Args:  cobra.ExactArgs(2),
-		RunE: func(c *cobra.Command, args []string) error {
+		RunE: asking(func(ctx context.Context, cl *client, args []string) error {
 			text, err := os.ReadFile(args[1])
 			if err != nil {
 				return failure{ExitInput, err.Error()}
 			}
-			cl, err := newClient()
-			if err != nil {
-				return err
-			}
 			var answer operator.BlocksAnswer
-			if err := cl.postBlocks(c.Context(), args[0], text, &answer); err != nil {
+			if err := cl.postBlocks(ctx, args[0], text, &answer); err != nil {
 				return err
 			}
 			return a.show(answer, func() { a.printf("stored %d blocks as %s\n", answer.Blocks, answer.Name) })
-		},
+		}),
 	})
 	return c
 }
--- a/internal/process/commander/settings.go
+++ b/internal/process/commander/settings.go
@@ -59,16 +59,12 @@
 		Use:   "show [PATH]",
 		Short: "Show the values in force at a path and the level each comes from",
 		Args:  cobra.MaximumNArgs(1),
-		RunE: func(c *cobra.Command, args []string) error {
-			cl, err := newClient()
-			if err != nil {
-				return err
-			}
+		RunE: asking(func(ctx context.Context, cl *client, args []string) error {
 			if whole {
-				return a.showTOML(c.Context(), cl)
+				return a.showTOML(ctx, cl)
 			}
-			return a.showPath(c.Context(), cl, strings.Join(args, ""))
-		},
+			return a.showPath(ctx, cl, strings.Join(args, ""))
+		}),
 	}
 	c.Flags().BoolVar(&whole, "toml", false, "print the whole tree as TOML, for `settings apply`")
 	return c
@@ -223,13 +219,9 @@
 		Use:   "log",
 		Short: "Show the last changes: number, who, when, what, why",
 		Args:  cobra.NoArgs,
-		RunE: func(c *cobra.Command, _ []string) error {
-			cl, err := newClient()
-			if err != nil {
-				return err
-			}
+		RunE: asking(func(ctx context.Context, cl *client, _ []string) error {
 			var now operator.SettingsAnswer
-			if err := cl.get(c.Context(), operator.PathSettings, &now); err != nil {
+			if err := cl.get(ctx, operator.PathSettings, &now); err != nil {
 				return err
 			}
 			after := uint64(0)
@@ -237,11 +229,11 @@
 				after = n - uint64(most)
 			}
 			var l operator.LogAnswer
-			if err := cl.get(c.Context(), operator.PathLog+"?After="+strconv.FormatUint(after, 10), &l); err != nil {
+			if err := cl.get(ctx, operator.PathLog+"?After="+strconv.FormatUint(after, 10), &l); err != nil {
 				return err
 			}
 			return a.show(l, func() { a.printLog(l.Changes) })
-		},
+		}),
 	}
 	c.Flags().IntVarP(&most, "last", "l", 20, "how many changes")
 	return c
--- a/internal/process/commander/steer.go
+++ b/internal/process/commander/steer.go
@@ -1,6 +1,7 @@
 package commander
 
 import (
+	"context"
 	"fmt"
 	"net/url"
 	"time"
@@ -108,26 +109,22 @@
 		Aliases: []string{"st"},
 		Short:   "Show the fleet: settings in force, use of slots, drains, shifts, what waits",
 		Args:    cobra.NoArgs,
-		RunE: func(c *cobra.Command, _ []string) error {
-			cl, err := newClient()
-			if err != nil {
-				return err
-			}
+		RunE: asking(func(ctx context.Context, cl *client, _ []string) error {
 			for {
 				var s operator.Status
-				if err := cl.get(c.Context(), operator.PathStatus, &s); err != nil {
+				if err := cl.get(ctx, operator.PathStatus, &s); err != nil {
 					return err
 				}
 				if err := a.show(s, func() { a.printStatus(s) }); err != nil || !watch {
 					return err
 				}
 				select {
-				case <-c.Context().Done():
+				case <-ctx.Done():
 					return nil
 				case <-time.After(watchPace):
 				}
 			}
-		},
+		}),
 	}
 	c.Flags().BoolVarP(&watch, "watch", "w", false, "show it again every second")
 	return c
@@ -179,17 +176,13 @@
 		Use:   "lookup SERVICE [BLOCK]",
 		Short: "Show which entries a caller in a client block is told to use",
 		Args:  cobra.RangeArgs(1, 2),
-		RunE: func(c *cobra.Command, args []string) error {
-			cl, err := newClient()
-			if err != nil {
-				return err
-			}
+		RunE: asking(func(ctx context.Context, cl *client, args []string) error {
 			v := url.Values{"Service": {args[0]}}
 			if len(args) > 1 {
 				v.Set("Block", args[1])
 			}
 			var answer steerer.Answer
-			if err := cl.get(c.Context(), operator.PathLookup+"?"+v.Encode(), &answer); err != nil {
+			if err := cl.get(ctx, operator.PathLookup+"?"+v.Encode(), &answer); err != nil {
 				return err
 			}
 			return a.show(answer, func() {
@@ -199,7 +192,7 @@
 					a.printf("  %s\n", e.Address)
 				}
 			})
-		},
+		}),
 	}
 }
 
--- a/internal/process/joiner/pause.go
+++ b/internal/process/joiner/pause.go
@@ -26,17 +26,8 @@
 }
 
 func (d *pauseDetector) loop(ctx context.Context) {
-	t := time.NewTicker(pauseTick)
-	defer t.Stop()
 	d.last.Store(int64(d.clock.Now()))
-	for {
-		select {
-		case <-ctx.Done():
-			return
-		case <-t.C:
-			d.check()
-		}
-	}
+	timekeeper.Every(ctx, pauseTick, func() { d.check() })
 }
 
 // check returns how many pauses there were, the one that just ended included.
--- a/internal/process/runner/assemble.go
+++ b/internal/process/runner/assemble.go
@@ -183,7 +183,7 @@
 		Settings: v.resolved,
 		Number:   number,
 		Plan:     v.plan,
-		View:     registrar.NewView(rosters).Without(d.suspects.list()),
+		View:     registrar.NewView(rosters).Without(d.suspects.list()).Without(d.replaced(rosters)),
 		Table:    v.table,
 		Home:     d.self.Site,
 		Wall:     d.clock.WallNow(),
--- a/internal/process/runner/gauges.go
+++ b/internal/process/runner/gauges.go
@@ -7,22 +7,14 @@
 	"github.com/gullvale/gullvale/internal/connection/pooler"
 	"github.com/gullvale/gullvale/internal/process/measurer"
 	"github.com/gullvale/gullvale/internal/version/steerer"
+	"github.com/gullvale/gullvale/pkg/timekeeper"
 )
 
 const gaugeEvery = time.Second
 
 // loopGauges shows the state of the daemon beside its counters.
 func (d *Daemon) loopGauges(ctx context.Context) {
-	t := time.NewTicker(gaugeEvery)
-	defer t.Stop()
-	for {
-		select {
-		case <-ctx.Done():
-			return
-		case <-t.C:
-			d.gauges()
-		}
-	}
+	timekeeper.Every(ctx, gaugeEvery, d.gauges)
 }
 
 func (d *Daemon) gauges() {
--- a/internal/process/runner/suspect.go
+++ b/internal/process/runner/suspect.go
@@ -52,16 +52,7 @@
 
 // loopSuspect watches the members of the region during an outage.
 func (d *Daemon) loopSuspect(ctx context.Context) {
-	t := time.NewTicker(suspectEvery)
-	defer t.Stop()
-	for {
-		select {
-		case <-ctx.Done():
-			return
-		case <-t.C:
-			d.suspect(ctx)
-		}
-	}
+	timekeeper.Every(ctx, suspectEvery, func() { d.suspect(ctx) })
 }
 
 func (d *Daemon) suspect(ctx context.Context) {
@@ -69,6 +60,7 @@
 	if d.joiner.Outage() {
 		away = d.outOfReach(ctx)
 	} else {
+		away = d.stillGone(ctx)
 		d.suspects.since = nil
 	}
 	if d.suspects.set(away) {
@@ -77,6 +69,37 @@
 	}
 }
 
+// stillGone returns the members found to be away that are on the roster yet and
+// still proved dead: once the platform is back, it takes the lead some seconds to
+// write a roster without them.
+func (d *Daemon) stillGone(ctx context.Context) map[registrar.Incarnation]bool {
+	before := d.suspects.list()
+	if len(before) == 0 {
+		return nil
+	}
+	away := map[registrar.Incarnation]bool{}
+	for _, m := range d.rosterMembers() {
+		if p := d.links.Peer(ctx, m); before[m.Incarnation] && !p.Up() && p.Gone() {
+			away[m.Incarnation] = true
+		}
+	}
+	return away
+}
+
+// replaced returns the members at whose address this daemon listens: former lives
+// of its VM.
+func (d *Daemon) replaced(rosters []registrar.Roster) map[registrar.Incarnation]bool {
+	out := map[registrar.Incarnation]bool{}
+	for _, r := range rosters {
+		for _, m := range r.Members {
+			if m.Links == d.self.Links && m.Incarnation != d.self.Incarnation {
+				out[m.Incarnation] = true
+			}
+		}
+	}
+	return out
+}
+
 // outOfReach returns the members of the region that have been out of reach for
 // long enough. A link that stands is proof of life.
 func (d *Daemon) outOfReach(ctx context.Context) map[registrar.Incarnation]bool {
--- a/internal/process/runner/sync.go
+++ b/internal/process/runner/sync.go
@@ -17,6 +17,7 @@
 	"github.com/gullvale/gullvale/pkg/recorder"
 	"github.com/gullvale/gullvale/pkg/registrar"
 	"github.com/gullvale/gullvale/pkg/storer"
+	"github.com/gullvale/gullvale/pkg/timekeeper"
 )
 
 const (
@@ -184,16 +185,7 @@
 
 // loopTidy ends links that nobody needs.
 func (d *Daemon) loopTidy(ctx context.Context) {
-	t := time.NewTicker(linkIdle / 4)
-	defer t.Stop()
-	for {
-		select {
-		case <-ctx.Done():
-			return
-		case <-t.C:
-			d.tidy()
-		}
-	}
+	timekeeper.Every(ctx, linkIdle/4, d.tidy)
 }
 
 // linkIdle is how long an unused link to a daemon of another site is kept.
--- a/internal/request/exchanger/exchange.go
+++ b/internal/request/exchanger/exchange.go
@@ -1,7 +1,6 @@
 package exchanger
 
 import (
-	"context"
 	"io"
 	"net/http"
 
@@ -122,9 +121,6 @@
 		RetryAfter timekeeper.Millis
 		Upstream   string
 	}
-
-	// Runner runs a call to its end.
-	Runner func(context.Context, *Call) Result
 )
 
 // String names the outcome as it stands in the answer's header.
--- a/internal/request/forwarder/route.go
+++ b/internal/request/forwarder/route.go
@@ -165,10 +165,11 @@
 	return c.free*d.slots > d.free*c.slots
 }
 
-// stalls tells whether the link to m stands but m does not answer.
+// stalls tells whether m is known not to answer: its process is gone, or the link
+// stands but nothing comes back.
 func (f *Forwarder) stalls(m registrar.Member) bool {
-	p := f.Links.Linked(m.Incarnation)
-	return p != nil && !p.Prompt()
+	p := f.Links.Known(m.Incarnation)
+	return p != nil && (p.Gone() || p.Up() && !p.Prompt())
 }
 
 // relay picks a daemon at random that will choose the owner.
--- a/internal/standin/demonstrator/report.go
+++ b/internal/standin/demonstrator/report.go
@@ -13,6 +13,7 @@
 
 	"github.com/gullvale/gullvale/internal/standin/caller"
 	"github.com/gullvale/gullvale/pkg/registrar"
+	"github.com/gullvale/gullvale/pkg/timekeeper"
 )
 
 const (
@@ -135,16 +136,7 @@
 }
 
 func (u *usage) loop(ctx context.Context) {
-	t := time.NewTicker(watchPace)
-	defer t.Stop()
-	for {
-		select {
-		case <-ctx.Done():
-			return
-		case <-t.C:
-			u.sample(time.Now())
-		}
-	}
+	timekeeper.Every(ctx, watchPace, func() { u.sample(time.Now()) })
 }
 
 func (u *usage) sample(now time.Time) {
--- a/internal/version/planner/mover.go
+++ b/internal/version/planner/mover.go
@@ -216,7 +216,7 @@
 func predicted(in Input, next *Plan, k key, to sharer.Division, site registrar.Site) float64 {
 	var use float64
 	for origin, w := range in.Load.Work[k.service] {
-		have, _ := in.Last.Route(k.service, origin)
+		have, _ := in.Last.Nearest(k.service, origin)
 		share := have.Of(string(site))
 		if origin == k.origin {
 			share = max(share, to.Of(string(site)))
@@ -228,11 +228,18 @@
 	return use
 }
 
+// shareIn is the share of site in a plan that is still being put together: its
+// routes are not sorted yet, so the plan itself cannot be asked.
 func shareIn(p *Plan, service resolver.ServiceName, origin, site registrar.Site) sharer.Share {
+	var nearest sharer.Share
 	for _, r := range p.Routes {
-		if r.Service == service && r.Origin == origin {
+		if r.Service != service || r.Origin.Region() != origin.Region() {
+			continue
+		}
+		if r.Origin == origin {
 			return r.Division.Of(string(site))
 		}
+		nearest = max(nearest, r.Division.Of(string(site)))
 	}
-	return 0
+	return nearest
 }
--- a/internal/version/planner/plan.go
+++ b/internal/version/planner/plan.go
@@ -104,6 +104,20 @@
 	return p.Routes[i].Division, true
 }
 
+// Nearest returns the division for a service and origin, or for an origin that the
+// plan does not know, that of another in its region.
+func (p Plan) Nearest(s resolver.ServiceName, origin registrar.Site) (sharer.Division, bool) {
+	if d, ok := p.Route(s, origin); ok {
+		return d, true
+	}
+	for _, r := range p.Routes {
+		if r.Service == s && r.Origin.Region() == origin.Region() {
+			return r.Division, true
+		}
+	}
+	return nil, false
+}
+
 func (p *Plan) sort() {
 	slices.SortFunc(p.Routes, func(a, b Route) int {
 		return compareKeys(key{a.Service, a.Origin}, key{b.Service, b.Origin})
--- a/internal/version/steerer/lookup_test.go
+++ b/internal/version/steerer/lookup_test.go
@@ -6,6 +6,7 @@
 	"fmt"
 	"net/netip"
 	"runtime"
+	"strings"
 	"testing"
 
 	"github.com/matryer/is"
@@ -90,6 +91,18 @@
 	is.Equal(s.Answer("other", locator.Block{}), nil)
 }
 
+// TestEveryOriginHasARoute asks for blocks of failure domains and regions without
+// any upstream, and of a daemon whose own domain has none.
+func TestEveryOriginHasARoute(t *testing.T) {
+	is := is.New(t)
+	s := snapshot(t, 2, 2, 1, 10)
+	for origin, region := range map[registrar.Site]string{"r1/other": "r1", "r0/d1": "r0", "elsewhere/x": "r"} {
+		b := locator.Block{Origin: origin, Hash: 7}
+		is.True(strings.HasPrefix(string(s.Site("keg-ledger", b)), region))
+		is.True(s.Answer("keg-ledger", b) != nil)
+	}
+}
+
 func TestLookupsDoNotAllocate(t *testing.T) {
 	is := is.New(t)
 	s := snapshot(t, 3, 2, 2, 1000)
--- a/internal/version/steerer/snapshot.go
+++ b/internal/version/steerer/snapshot.go
@@ -17,6 +17,9 @@
 	"github.com/gullvale/gullvale/pkg/timekeeper"
 )
 
+// anywhere is the origin of callers in regions without upstreams.
+const anywhere registrar.Site = ""
+
 type (
 	// Parts is what a snapshot is built from.
 	Parts struct {
@@ -93,8 +96,8 @@
 	var targets planner.Targets
 	var last *route
 	var lastDivision sharer.Division
-	for _, origin := range s.Settings.Sites {
-		d, ok := s.Plan.Route(service, origin)
+	for _, origin := range origins(s.Settings.Sites) {
+		d, ok := s.Plan.Nearest(service, origin)
 		if !ok {
 			d = targets.Of(s.Settings, service, origin, s.Wall)
 		}
@@ -110,6 +113,30 @@
 	return nil
 }
 
+// origins returns the sites, each region by itself, and anywhere: callers may come
+// from failure domains that have no upstreams, and from regions that have none.
+func origins(sites []registrar.Site) []registrar.Site {
+	out := slices.Clone(sites)
+	var last string
+	for _, site := range sites {
+		if r := site.Region(); r != last {
+			out = append(out, registrar.Site(r))
+			last = r
+		}
+	}
+	return append(out, anywhere)
+}
+
+// route returns the route of the nearest origin that there is.
+func (s *Snapshot) route(service resolver.ServiceName, origin registrar.Site) *route {
+	for _, o := range []registrar.Site{origin, registrar.Site(origin.Region()), anywhere} {
+		if r := s.routes[routeKey{service, o}]; r != nil {
+			return r
+		}
+	}
+	return nil
+}
+
 func (s *Snapshot) newRoute(service resolver.ServiceName, d sharer.Division) (*route, error) {
 	r := &route{hash: hasher.OfString(string(service)), chooser: sharer.NewChooser(d)}
 	for _, name := range r.chooser.Sites() {
@@ -198,7 +225,7 @@
 // Site returns where a request from a block for a service is to run, "" when
 // no site takes the service. It does not allocate.
 func (s *Snapshot) Site(service resolver.ServiceName, b locator.Block) registrar.Site {
-	r := s.routes[routeKey{service, b.Origin}]
+	r := s.route(service, b.Origin)
 	if r == nil {
 		return ""
 	}
@@ -212,7 +239,7 @@
 // Answer returns the rendered answer to a look-up, nil when there is no entry.
 // It does not allocate; the caller must not change the bytes.
 func (s *Snapshot) Answer(service resolver.ServiceName, b locator.Block) []byte {
-	r := s.routes[routeKey{service, b.Origin}]
+	r := s.route(service, b.Origin)
 	if r == nil {
 		return nil
 	}
--- a/pkg/leaser/lease_test.go
+++ b/pkg/leaser/lease_test.go
@@ -139,7 +139,7 @@
 	rapid.Check(t, func(t *rapid.T) {
 		n++
 		ctx := context.Background()
-		var real float64
+		var elapsed float64
 		var all []*leaser.Lease
 		for i := range 4 {
 			// One part in fifty is far more than clocks of VMs differ by.
@@ -148,12 +148,12 @@
 				Store:  &storer.Client{Address: address},
 				Name:   fmt.Sprint("Lease/Random", n),
 				Holder: fmt.Sprint("h", i),
-				Clock:  timekeeper.Clock{Monotonic: func() timekeeper.Millis { return timekeeper.Millis(1 + real*rate) }},
+				Clock:  timekeeper.Clock{Monotonic: func() timekeeper.Millis { return timekeeper.Millis(1 + elapsed*rate) }},
 			})
 		}
 		var highest leaser.Fence
 		for range rapid.IntRange(20, 80).Draw(t, "steps") {
-			real += rapid.Float64Range(0, 1200).Draw(t, "time")
+			elapsed += rapid.Float64Range(0, 1200).Draw(t, "time")
 			p.SetFaults(platform.Faults{
 				Down:        rapid.IntRange(0, 9).Draw(t, "down") == 0,
 				LoseAnswers: rapid.SampledFrom([]int{0, 0, 0, 1}).Draw(t, "lost"),
--- a/test/faults_test.go
+++ b/test/faults_test.go
@@ -124,11 +124,7 @@
 	x.cancel()
 	x.done.Wait()
 	x.load.Wait()
-	var journals []map[string]int
-	for _, u := range upstreams {
-		journals = append(journals, counts(x.t, u).Journal)
-	}
-	if v := x.load.Judge(journals); v.Broken() {
+	if v := x.load.Judge(runs(x.t, upstreams...)); v.Broken() {
 		x.t.Fatalf("promises broken: %+v", v)
 	}
 	a := x.load.Accounts()[0]
@@ -270,6 +266,68 @@
 	is.True(a.Answered > a.Requests*9/10)
 }
 
+// TestDomainRestartsInOutage kills the only daemon of a failure domain while the
+// platform is down, and starts it again. Its upstream is served by the region
+// meanwhile, and the new daemon comes up from its peers.
+func TestDomainRestartsInOutage(t *testing.T) {
+	address := startPlatform(t)
+	text, upstreams := twoUpstreams(t)
+	a := startDaemon(t, daemonOptions{name: "erie-a", region: "erie", domain: "a", platform: address})
+	b := startDaemon(t, daemonOptions{name: "erie-b", region: "erie", domain: "b", platform: address})
+	a.apply(2, text)
+	eventually(t, "the domain's own daemon owns its upstreams", func() bool { return a.slots() == 12 })
+	x := startTraffic(t, 100, a, b)
+	x.flows()
+	fault(t, address, platform.Faults{Down: true})
+	a.signal(syscall.SIGKILL)
+	a.exit()
+	eventually(t, "the region covers the domain", func() bool { return b.slots() == 12 })
+	x.flows()
+	again := startDaemon(t, daemonOptions{name: "erie-a", region: "erie", domain: "a", platform: address,
+		callers: a.callers, links: a.links, operators: a.operators, seeds: []string{b.links}})
+	again.ready()
+	x.flows()
+	fault(t, address, platform.Faults{})
+	eventually(t, "the domain has its upstreams back", func() bool { return again.slots() == 12 && b.slots() == 0 })
+	again.set(2, "55")
+	x.flows()
+	x.judge(upstreams...)
+}
+
+// TestCutOff takes the platform and all links from one daemon only. It says so,
+// goes on with what it has, and catches up afterwards.
+func TestCutOff(t *testing.T) {
+	is := is.New(t)
+	address := startPlatform(t)
+	text, _ := twoUpstreams(t)
+	own := newProxy(t, strings.TrimPrefix(address, "http://"))
+	a, pa := startBehind(t, daemonOptions{name: "erie-1", region: "erie", domain: "a", platform: "http://" + own.Listen})
+	b, pb := startBehind(t, daemonOptions{name: "erie-2", region: "erie", domain: "a", platform: address})
+	b.apply(2, text)
+	before := a.state().Settings
+	for _, p := range []*proxy{own, pa, pb} {
+		p.Stop()
+	}
+	eventually(t, "it knows that it is cut off", func() bool {
+		st := a.state()
+		return !st.Platform && !st.LeadReached
+	})
+	eventually(t, "the other is alone on the roster", func() bool { return b.state().Members == 1 })
+	n := b.set(1, "31")
+	p, err := http.Get("http://" + a.callers + "/Lookup?Service=keg-ledger")
+	is.NoErr(err)
+	p.Body.Close()
+	is.Equal(p.StatusCode, http.StatusOK) // it serves what it has
+	is.Equal(a.state().Settings, before)
+	for _, p := range []*proxy{own, pa, pb} {
+		if err := p.Start(); err != nil {
+			t.Fatal(err)
+		}
+	}
+	eventually(t, "it has caught up", func() bool { return a.state().Settings >= n && a.state().Valid })
+	b.set(2, "32")
+}
+
 // TestLeadPaused stops the lead for longer than its lease, and lets it go on.
 // Another leads meanwhile, and the first counts for nothing afterwards.
 func TestLeadPaused(t *testing.T) {
--- a/test/harness_test.go
+++ b/test/harness_test.go
@@ -328,6 +328,16 @@
 	return c
 }
 
+// runs returns how often each token ran, by the journals of all upstreams.
+func runs(t testing.TB, upstreams ...string) []map[string]int {
+	t.Helper()
+	var out []map[string]int
+	for _, u := range upstreams {
+		out = append(out, counts(t, u).Journal)
+	}
+	return out
+}
+
 // send sends one request to an entry.
 func (d *daemon) send(ctx context.Context, method, service, target string, body io.Reader) (*http.Response, error) {
 	q, err := http.NewRequestWithContext(ctx, method, "http://"+d.callers+target, body)
--- a/test/keys_test.go
+++ b/test/keys_test.go
@@ -80,14 +80,14 @@
 		done.Wait()
 	}
 	check := func() {
-		runs := map[string]int{}
-		for _, u := range upstreams {
-			for token, n := range counts(t, u).Journal {
-				runs[token] += n
+		total := map[string]int{}
+		for _, journal := range runs(t, upstreams...) {
+			for token, n := range journal {
+				total[token] += n
 			}
 		}
 		for _, key := range keys {
-			is.Equal(runs[key], 1)
+			is.Equal(total[key], 1)
 		}
 	}
 	round(all)
--- a/test/measure_test.go
+++ b/test/measure_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"encoding/json"
 	"fmt"
 	"io"
 	"net/http"
@@ -14,6 +15,7 @@
 	"time"
 
 	"github.com/gullvale/gullvale/internal/process/operator"
+	"github.com/gullvale/gullvale/internal/standin/platform"
 	"github.com/gullvale/gullvale/internal/version/resolver"
 )
 
@@ -141,6 +143,46 @@
 	}
 }
 
+// BenchmarkReturn takes the platform away for longer than any lease, and tells what
+// all daemons ask of it in each of the first seconds when it is back.
+func BenchmarkReturn(b *testing.B) {
+	for _, n := range []int{10, 20, 40} {
+		b.Run(fmt.Sprint(n), func(b *testing.B) {
+			address := startPlatform(b)
+			all := fleetOf(b, address, n)
+			all[0].apply(n, fmt.Sprintf(oneSite, "127.0.0.1:9"))
+			for b.Loop() {
+				fault(b, address, platform.Faults{Down: true})
+				time.Sleep(20 * time.Second)
+				before := platformCalls(b, address)
+				fault(b, address, platform.Faults{})
+				var most uint64
+				for range 5 {
+					time.Sleep(time.Second)
+					now := platformCalls(b, address)
+					most = max(most, now-before)
+					before = now
+				}
+				b.ReportMetric(float64(most), "most-calls/s")
+			}
+		})
+	}
+}
+
+func platformCalls(b *testing.B, address string) uint64 {
+	b.Helper()
+	p, err := http.Get(address + "/Counts")
+	if err != nil {
+		b.Fatal(err)
+	}
+	defer p.Body.Close()
+	var c platform.Counts
+	if err := json.NewDecoder(p.Body).Decode(&c); err != nil {
+		b.Fatal(err)
+	}
+	return c.Reads + c.Writes + c.Watches
+}
+
 // handedBy counts the requests that daemons handed to others.
 func handedBy(all []*daemon) float64 {
 	var n float64
