joiner, leader, forwarder: short pauses in an outage; grown files divided

Cause: longer randomised runs (22 faults) broke no promise but showed members that refuse all they own: paused for 2 s while the platform was down and nobody led, they counted as lapsed until the platform was back, though nobody acts for a member that is silent for so short a time.

--- a/internal/process/joiner/joiner.go
+++ b/internal/process/joiner/joiner.go
@@ -77,10 +77,11 @@
 	go j.runBeats(ctx)
 }
 
-// Valid tells whether this daemon may act as a member now. It is false after a
+// Valid tells whether this daemon may act as a member now. It is false after a long
 // pause until the lead has confirmed the membership anew, and when the lead has
 // not done so for too long although the platform, which tells who leads, can be
-// reached. While it cannot, nobody else is given what this member has.
+// reached. While it cannot, nobody else is given what this member has, unless it
+// is silent for longer than a pause may take.
 func (j *Joiner) Valid() bool {
 	pauses := j.pause.check()
 	j.lock.Lock()
--- a/internal/process/joiner/pause.go
+++ b/internal/process/joiner/pause.go
@@ -12,12 +12,15 @@
 	pauseTick = 100 * time.Millisecond
 
 	// pauseLimit is how long a process may stand still without being taken
-	// for paused. It is well below the time after which others act for it.
-	pauseLimit = 1500 * timekeeper.Millis(1)
+	// for paused. Nobody acts for a member that is silent for less, neither a
+	// lead nor, in an outage of the platform, its peers.
+	pauseLimit = Validity
 )
 
 // pauseDetector notices that the process stood still: it was stopped, or its VM
-// was. Whichever runs first after the pause, the loop or a question, finds the
+// was. While a lead confirms a member its clock says as much, but in an outage the
+// membership has no end, and a process that slept through a part of it must not
+// go on as if it had been there. Whichever runs first after the pause, the loop or a question, finds the
 // gap, so no question asked afterwards is answered as if nothing happened.
 type pauseDetector struct {
 	clock  timekeeper.Clock
--- a/internal/process/leader/leader.go
+++ b/internal/process/leader/leader.go
@@ -2,8 +2,6 @@
 
 import (
 	"context"
-	"encoding/json"
-	"errors"
 	"math/rand/v2"
 	"sync"
 	"time"
@@ -33,11 +31,6 @@
 	// heartbeats of a whole region make a few writes.
 	gather = 20 * time.Millisecond
 
-	// summaryEvery is the time between two summaries while only the load
-	// changes, summaryLatest that without any change.
-	summaryEvery  = timekeeper.Second
-	summaryLatest = 4 * timekeeper.Second
-
 	// resendAfter is when objects are sent again to a member that does not
 	// show them in its heartbeats.
 	resendAfter = 3 * timekeeper.Second
@@ -74,14 +67,6 @@
 		sealed  bool
 	}
 
-	// summaryState is the summary written last.
-	summaryState struct {
-		Summary
-		at      storer.Revision
-		known   bool
-		written timekeeper.Millis
-	}
-
 	// cursor is up to where a member was sent the relayed objects.
 	cursor struct {
 		lock sync.Mutex
@@ -176,84 +161,6 @@
 	}
 }
 
-// track remembers a member's link and sends it what it lacks.
-func (l *Leader) track(s *linker.Session, has storer.Revision) {
-	l.lock.Lock()
-	c := l.cursors[s]
-	if c == nil {
-		c = &cursor{sent: has, at: l.Clock.Now()}
-		l.cursors[s] = c
-	}
-	l.lock.Unlock()
-	c.lock.Lock()
-	if has < c.sent && l.Clock.Now()-c.at > resendAfter {
-		c.sent = has
-	}
-	c.lock.Unlock()
-	l.send(s, c)
-}
-
-// Relay passes new objects on to all members.
-func (l *Leader) Relay() {
-	l.lock.Lock()
-	all := make(map[*linker.Session]*cursor, len(l.cursors))
-	for s, c := range l.cursors {
-		all[s] = c
-	}
-	l.lock.Unlock()
-	for s, c := range all {
-		l.send(s, c)
-	}
-}
-
-func (l *Leader) send(s *linker.Session, c *cursor) {
-	c.lock.Lock()
-	defer c.lock.Unlock()
-	b := l.Replica.Since(c.sent)
-	if b.Revision <= c.sent {
-		return
-	}
-	if SendObjects(s, b) != nil {
-		s.Close()
-		return
-	}
-	c.sent = b.Revision
-	c.at = l.Clock.Now()
-}
-
-// SendObjects sends a batch over a link, in as many frames as it takes.
-func SendObjects(s *linker.Session, b storer.Batch) error {
-	m := &framer.Objects{}
-	size := 0
-	for _, o := range b.Objects {
-		if size > 0 && size+len(o.Body) > storer.MaxObjectBytes {
-			if err := s.Send(framer.KindObjects, m); err != nil {
-				return err
-			}
-			m = &framer.Objects{}
-			size = 0
-		}
-		size += len(o.Body)
-		m.Objects = append(m.Objects, &framer.Object{Name: o.Name, Revision: uint64(o.Revision), Body: o.Body})
-	}
-	// Only the last frame claims to be complete up to the revision.
-	m.Revision = uint64(b.Revision)
-	return s.Send(framer.KindObjects, m)
-}
-
-// ReadObjects is the other end of SendObjects.
-func ReadObjects(f framer.Frame) (storer.Batch, error) {
-	var m framer.Objects
-	if err := f.Decode(&m); err != nil {
-		return storer.Batch{}, err
-	}
-	b := storer.Batch{Revision: storer.Revision(m.Revision)}
-	for _, o := range m.Objects {
-		b.Objects = append(b.Objects, storer.Object{Name: o.Name, Revision: storer.Revision(o.Revision), Body: o.Body})
-	}
-	return b, nil
-}
-
 // runWatch holds the region's one watch.
 func (l *Leader) runWatch(ctx context.Context) {
 	pause := firstPause
@@ -292,127 +199,9 @@
 	}
 }
 
-// dutyRoster writes the roster when the membership changed. The first write
-// of a holding seals the object under its fence.
-func (l *Leader) dutyRoster(ctx context.Context, fence leaser.Fence) {
-	l.lock.Lock()
-	sealed := l.sealed
-	l.lock.Unlock()
-	if !sealed && !l.inherit(ctx, fence) {
-		return
-	}
-	for _, m := range l.members.lapse(l.Clock.Now(), l.Clock.WallNow()) {
-		l.Log.WithField("member", m.Name).Info("member lapsed")
-	}
-	list, past := l.members.list()
-	l.lock.Lock()
-	next := l.roster
-	at := l.rosters
-	l.lock.Unlock()
-	if sealed && sameMembers(next.Members, list) {
-		return
-	}
-	if now, held := l.Lease.Held(); !held || now != fence {
-		return
-	}
-	next.Region = l.Region
-	next.Fence = fence
-	next.Version++
-	next.Members = list
-	next.Past = past
-	l.writeRoster(ctx, next, at)
-}
-
-// inherit reads the roster of the lead before. It reports false when that is
-// not possible now.
-func (l *Leader) inherit(ctx context.Context, fence leaser.Fence) bool {
-	o, err := l.Store.Get(ctx, registrar.ObjectName(l.Region))
-	if errors.Is(err, storer.ErrNotFound) {
-		return true
-	}
-	if err != nil {
-		return false
-	}
-	r, err := registrar.Decode(o.Body)
-	if err != nil || staleLead(fence, r.Fence) {
-		return false
-	}
-	lease, _ := l.Lease.Current()
-	l.members.inherit(r, registrar.Incarnation(lease.Before), l.Clock.Now())
-	l.lock.Lock()
-	defer l.lock.Unlock()
-	l.roster = r
-	l.rosters = o.Revision
-	return true
-}
-
-func (l *Leader) writeRoster(ctx context.Context, next registrar.Roster, at storer.Revision) {
-	body, err := next.Encode()
-	if err != nil {
-		return
-	}
-	name := registrar.ObjectName(l.Region)
-	revision, err := l.put(ctx, name, body, at)
-	l.lock.Lock()
-	defer l.lock.Unlock()
-	if err != nil {
-		// Whether it took effect will be seen when it is read anew.
-		l.sealed = false
-		return
-	}
-	l.roster = next
-	l.rosters = revision
-	l.sealed = true
-	l.Log.WithFields(logrus.Fields{"version": next.Version, "members": len(next.Members)}).Info("roster written")
-}
-
 func (l *Leader) put(ctx context.Context, name string, body []byte, at storer.Revision) (storer.Revision, error) {
 	if at == 0 {
 		return l.Store.Create(ctx, name, body)
 	}
 	return l.Store.Update(ctx, name, body, at)
 }
-
-// dutySummary writes what the region does: at once when a number in force
-// changed, soon when the load did, and now and then in any case.
-func (l *Leader) dutySummary(ctx context.Context, fence leaser.Fence, last *summaryState) {
-	now := l.Clock.Now()
-	next := Summary{Region: l.Region, Fence: fence, Sequence: last.Sequence + 1, AtMillis: l.Clock.WallNow()}
-	l.members.summarize(&next)
-	since := now - last.written
-	if since < summaryEvery && sameNumbers(last.Summary, next) {
-		return
-	}
-	if since < summaryLatest && sameNumbers(last.Summary, next) && sameLoad(last.Summary, next) {
-		return
-	}
-	if !last.known && !l.readSummary(ctx, fence, last) {
-		return
-	}
-	body, err := json.Marshal(next)
-	if err != nil {
-		return
-	}
-	at, err := l.put(ctx, SummaryPrefix+l.Region, body, last.at)
-	if err != nil {
-		// Another revision, or nobody knows: it is read anew before the next.
-		last.known = false
-		return
-	}
-	*last = summaryState{Summary: next, at: at, known: true, written: now}
-}
-
-// readSummary finds the revision of the summary object. It reports false when it
-// cannot, or when a later lead has written there.
-func (l *Leader) readSummary(ctx context.Context, fence leaser.Fence, last *summaryState) bool {
-	o, err := l.Store.Get(ctx, SummaryPrefix+l.Region)
-	if err != nil && !errors.Is(err, storer.ErrNotFound) {
-		return false
-	}
-	if old, err := DecodeSummary(o.Body); err == nil && staleLead(fence, old.Fence) {
-		return false
-	}
-	last.at = o.Revision
-	last.known = true
-	return true
-}
--- /dev/null
+++ b/internal/process/leader/relay.go
@@ -0,0 +1,85 @@
+package leader
+
+import (
+	"github.com/gullvale/gullvale/internal/connection/framer"
+	"github.com/gullvale/gullvale/internal/connection/linker"
+	"github.com/gullvale/gullvale/pkg/storer"
+)
+
+// track remembers a member's link and sends it what it lacks.
+func (l *Leader) track(s *linker.Session, has storer.Revision) {
+	l.lock.Lock()
+	c := l.cursors[s]
+	if c == nil {
+		c = &cursor{sent: has, at: l.Clock.Now()}
+		l.cursors[s] = c
+	}
+	l.lock.Unlock()
+	c.lock.Lock()
+	if has < c.sent && l.Clock.Now()-c.at > resendAfter {
+		c.sent = has
+	}
+	c.lock.Unlock()
+	l.send(s, c)
+}
+
+// Relay passes new objects on to all members.
+func (l *Leader) Relay() {
+	l.lock.Lock()
+	all := make(map[*linker.Session]*cursor, len(l.cursors))
+	for s, c := range l.cursors {
+		all[s] = c
+	}
+	l.lock.Unlock()
+	for s, c := range all {
+		l.send(s, c)
+	}
+}
+
+func (l *Leader) send(s *linker.Session, c *cursor) {
+	c.lock.Lock()
+	defer c.lock.Unlock()
+	b := l.Replica.Since(c.sent)
+	if b.Revision <= c.sent {
+		return
+	}
+	if SendObjects(s, b) != nil {
+		s.Close()
+		return
+	}
+	c.sent = b.Revision
+	c.at = l.Clock.Now()
+}
+
+// SendObjects sends a batch over a link, in as many frames as it takes.
+func SendObjects(s *linker.Session, b storer.Batch) error {
+	m := &framer.Objects{}
+	size := 0
+	for _, o := range b.Objects {
+		if size > 0 && size+len(o.Body) > storer.MaxObjectBytes {
+			if err := s.Send(framer.KindObjects, m); err != nil {
+				return err
+			}
+			m = &framer.Objects{}
+			size = 0
+		}
+		size += len(o.Body)
+		m.Objects = append(m.Objects, &framer.Object{Name: o.Name, Revision: uint64(o.Revision), Body: o.Body})
+	}
+	// Only the last frame claims to be complete up to the revision.
+	m.Revision = uint64(b.Revision)
+	return s.Send(framer.KindObjects, m)
+}
+
+// ReadObjects is the other end of SendObjects.
+func ReadObjects(f framer.Frame) (storer.Batch, error) {
+	var m framer.Objects
+	if err := f.Decode(&m); err != nil {
+		return storer.Batch{}, err
+	}
+	b := storer.Batch{Revision: storer.Revision(m.Revision)}
+	for _, o := range m.Objects {
+		b.Objects = append(b.Objects, storer.Object{Name: o.Name, Revision: storer.Revision(o.Revision), Body: o.Body})
+	}
+	return b, nil
+}
--- /dev/null
+++ b/internal/request/forwarder/answer.go
@@ -0,0 +1,142 @@
+package forwarder
+
+import (
+	"encoding/json"
+	"net/http"
+	"strconv"
+	"time"
+
+	"github.com/gullvale/gullvale/internal/process/measurer"
+	"github.com/gullvale/gullvale/internal/request/exchanger"
+	"github.com/gullvale/gullvale/pkg/timekeeper"
+)
+
+// Refusal is the body of an answer that the entry gives itself.
+type Refusal struct {
+	Outcome          string
+	Reason           string
+	Detail           string `json:",omitempty"`
+	RetryAfterMillis timekeeper.Millis
+}
+
+// start passes the head of an upstream's answer on.
+func (x *exchange) start(a exchanger.Answer) error {
+	h := x.writer.Header()
+	removeHop(a.Header)
+	for n, v := range a.Header {
+		h[n] = v
+	}
+	h.Set(HeaderOutcome, exchanger.Answered.String())
+	h.Set(HeaderUpstream, a.Upstream)
+	h.Set(HeaderEntry, x.forwarder.Self().Name)
+	if a.Length >= 0 && h.Get("Content-Length") == "" && a.Status != http.StatusNoContent {
+		h.Set("Content-Length", strconv.FormatInt(a.Length, 10))
+	}
+	if x.forwarder.Leaving() {
+		h.Set("Connection", "close")
+	}
+	x.flush = a.Length < 0
+	x.started = true
+	x.writer.WriteHeader(a.Status)
+	return nil
+}
+
+func (x *exchange) write(p []byte) error {
+	n, err := x.writer.Write(p)
+	x.written += int64(n)
+	if err != nil {
+		return err
+	}
+	if x.flush {
+		return http.NewResponseController(x.writer).Flush()
+	}
+	return nil
+}
+
+func (x *exchange) trailer(t http.Header) {
+	for n, v := range t {
+		x.writer.Header()[http.TrailerPrefix+n] = v
+	}
+}
+
+// finish ends the exchange as the result says.
+func (x *exchange) finish(r exchanger.Result) {
+	x.observe(r)
+	if x.started {
+		if !r.Whole {
+			// Closing the connection is how HTTP/1.1 says that an answer is
+			// broken. What there is of it goes first: without its head the
+			// caller could not tell a broken answer from none.
+			_ = http.NewResponseController(x.writer).Flush()
+			panic(http.ErrAbortHandler)
+		}
+		return
+	}
+	x.writeRefusal(statusOf(r), r, "")
+}
+
+func statusOf(r exchanger.Result) int {
+	switch r.Reason {
+	case exchanger.ReasonDeadline:
+		return http.StatusGatewayTimeout
+	case exchanger.ReasonBadRequest:
+		return http.StatusBadRequest
+	case exchanger.ReasonUnknownService:
+		return http.StatusNotFound
+	case exchanger.ReasonKeyReused:
+		return http.StatusUnprocessableEntity
+	case exchanger.ReasonNotKept:
+		return http.StatusGone
+	}
+	if r.Outcome == exchanger.NotRun {
+		return http.StatusServiceUnavailable
+	}
+	return http.StatusBadGateway
+}
+
+func (x *exchange) reject(status int, reason exchanger.Reason, detail string) (*exchanger.Call, bool) {
+	x.refuse(status, exchanger.Refused(reason, 0), detail)
+	return nil, false
+}
+
+func (x *exchange) refuse(status int, r exchanger.Result, detail string) {
+	x.observe(r)
+	x.writeRefusal(status, r, detail)
+}
+
+func (x *exchange) writeRefusal(status int, r exchanger.Result, detail string) {
+	h := x.writer.Header()
+	h.Set("Content-Type", "application/json")
+	h.Set(HeaderOutcome, r.Outcome.String())
+	h.Set(HeaderReason, string(r.Reason))
+	h.Set(HeaderEntry, x.forwarder.Self().Name)
+	if r.Upstream != "" {
+		h.Set(HeaderUpstream, r.Upstream)
+	}
+	if r.RetryAfter > 0 {
+		h.Set(HeaderRetryAfter, strconv.FormatInt(int64(r.RetryAfter), 10))
+		seconds := (r.RetryAfter + timekeeper.Second - 1) / timekeeper.Second
+		h.Set("Retry-After", strconv.FormatInt(int64(seconds), 10))
+	}
+	x.writer.WriteHeader(status)
+	_ = json.NewEncoder(x.writer).Encode(Refusal{
+		Outcome:          r.Outcome.String(),
+		Reason:           string(r.Reason),
+		Detail:           detail,
+		RetryAfterMillis: r.RetryAfter,
+	})
+}
+
+func (x *exchange) observe(r exchanger.Result) {
+	l := measurer.Labels{Kind: r.Outcome.String()}
+	if x.service != nil {
+		l.Service = string(x.service.Name)
+		l.Class = string(x.service.Class)
+	}
+	m := x.forwarder.Meter
+	m.Observe("request_seconds", l, time.Since(x.began))
+	if r.Reason != exchanger.ReasonNone {
+		l.Kind = string(r.Reason)
+		m.Count("request_reasons", l)
+	}
+}
