demonstrator: the shortest run is 20 s

Cause: a demo of 10 s on a fresh clone ended with exit 1, since a drain of 5 to 6 s and the second in which nothing may come do not fit between its drain and its end.

--- a/internal/standin/demonstrator/demo.go
+++ b/internal/standin/demonstrator/demo.go
@@ -15,7 +15,7 @@
 const (
 	// ShortestRun is the least length of a demo in which the shift and the
 	// drain come to their end.
-	ShortestRun = 10 * time.Second
+	ShortestRun = 20 * time.Second
 
 	shiftShare = 0.2
 
