--- a/test/measure_test.go
+++ b/test/measure_test.go
@@ -5,6 +5,7 @@
 	"encoding/json"
 	"fmt"
 	"io"
+	"net"
 	"net/http"
 	"os"
 	"slices"
@@ -354,6 +355,17 @@
 	time.Sleep(5 * time.Second)
 	for b.Loop() {
 		empty := d.rss()
+		var idle []net.Conn
+		for range count {
+			c, err := net.Dial("tcp", d.callers)
+			if err != nil {
+				b.Fatal(err)
+			}
+			idle = append(idle, c)
+		}
+		time.Sleep(time.Second)
+		b.ReportMetric((d.rss()-empty)/count, "idle-KB")
+		empty = d.rss()
 		ctx, cancel := context.WithCancel(context.Background())
 		client := &http.Client{Transport: &http.Transport{MaxIdleConnsPerHost: count}}
 		var bodies []io.Closer
@@ -374,6 +386,9 @@
 		for _, x := range bodies {
 			x.Close()
 		}
+		for _, c := range idle {
+			c.Close()
+		}
 	}
 }
 
