planner, leader, runner: demand is joined in one place

Cause: the last read of the whole change showed the same loop in the planner's duty and in the guard of changes, and planner.Target without a caller since routes that divide alike are shared.

Change: Summary.AddWork over Load.Add serves both; Target is gone, its comment stands at Targets.Of.

--- a/internal/process/leader/plan.go
+++ b/internal/process/leader/plan.go
@@ -216,12 +216,7 @@
 			out.Stale = append(out.Stale, region)
 			continue
 		}
-		for _, w := range s.summary.Work {
-			if out.Work[w.Service] == nil {
-				out.Work[w.Service] = planner.Demand{}
-			}
-			out.Work[w.Service][w.Origin] += w.Slots
-		}
+		s.summary.AddWork(&out)
 	}
 	return out
 }
--- a/internal/process/leader/summary.go
+++ b/internal/process/leader/summary.go
@@ -91,6 +91,13 @@
 	return count
 }
 
+// AddWork adds the work of the region to a load.
+func (s Summary) AddWork(to *planner.Load) {
+	for _, w := range s.Work {
+		to.Add(w.Service, w.Origin, w.Slots)
+	}
+}
+
 // runsPlan tells whether all members run plan number n or a later one.
 func (s Summary) runsPlan(n planner.Number) bool {
 	return !slices.ContainsFunc(s.Numbers, func(x NumberCount) bool { return x.Plan < n })
--- a/internal/process/runner/status.go
+++ b/internal/process/runner/status.go
@@ -166,14 +166,9 @@
 	if err != nil {
 		return nil, parser.Problems{{Text: fmt.Sprintf("the load is not known: %v", err)}}
 	}
-	load := planner.Load{Work: map[resolver.ServiceName]planner.Demand{}}
+	var load planner.Load
 	for _, s := range all {
-		for _, w := range s.Work {
-			if load.Work[w.Service] == nil {
-				load.Work[w.Service] = planner.Demand{}
-			}
-			load.Work[w.Service][w.Origin] += w.Slots
-		}
+		s.AddWork(&load)
 	}
 	next := t.Resolve()
 	wall := d.clock.WallNow()
--- a/internal/version/planner/mover.go
+++ b/internal/version/planner/mover.go
@@ -68,6 +68,17 @@
 	}
 )
 
+// Add adds the slots in use by the requests of an origin.
+func (l *Load) Add(service resolver.ServiceName, origin registrar.Site, slots float64) {
+	if l.Work == nil {
+		l.Work = map[resolver.ServiceName]Demand{}
+	}
+	if l.Work[service] == nil {
+		l.Work[service] = Demand{}
+	}
+	l.Work[service][origin] += slots
+}
+
 // Step returns the next plan, and whether it differs from the last. Its holds
 // say what waits and why.
 func (m *Mover) Step(in Input) (Plan, bool) {
--- a/internal/version/planner/target.go
+++ b/internal/version/planner/target.go
@@ -46,15 +46,6 @@
 	}
 )
 
-// Target is where the traffic of one origin is to go as far as settings alone
-// tell: to the sites of its own region in proportion to their capacity, to all
-// other regions when its own has none left. A fresh deployment steers by it
-// until there is a plan, from which shifts then begin.
-func Target(r *resolver.Resolved, service resolver.ServiceName, origin registrar.Site, wall timekeeper.Millis) sharer.Division {
-	var t Targets
-	return t.Of(r, service, origin, wall)
-}
-
 // Targets works out targets without measurements, and remembers what they have in
 // common. The zero value is ready; it serves one service.
 type Targets struct {
@@ -62,7 +53,10 @@
 	byRegion map[string]sharer.Division
 }
 
-// Of is the same as Target.
+// Of is where the traffic of one origin is to go as far as settings alone tell: to
+// the sites of its own region in proportion to their capacity, to all other
+// regions when its own has none left. A fresh deployment steers by it until there
+// is a plan, from which shifts then begin.
 func (t *Targets) Of(r *resolver.Resolved, service resolver.ServiceName, origin registrar.Site, wall timekeeper.Millis) sharer.Division {
 	if t.open == nil {
 		t.open = openCapacity(r, service, wall)
