joiner: questions before the start race with nothing

Cause: Start wrote the clock of the pause detector, the poke channel and the map of heartbeats while the operators' listener, which serves before the first settings, could already ask Valid. Ruled out: the owner and the claimer, which start after the joiner.

Change: nothing that questions read is written by Start any more; the channel is made once by whoever needs it first, the map with the first heartbeat.

Before: TestAskedBeforeStart reports a data race in the first run. Conclusion: what listeners reach must be ready before they are.

--- a/internal/process/joiner/joiner.go
+++ b/internal/process/joiner/joiner.go
@@ -50,11 +50,13 @@
 		// Shun tells that this daemon must not take the lead now.
 		Shun func() bool
 
-		pause pauseDetector
-		poke  chan struct{}
-		seq   atomic.Uint64
+		pause    pauseDetector
+		pokeOnce sync.Once
+		poke     chan struct{}
+		seq      atomic.Uint64
 
-		lock      sync.Mutex
+		lock sync.Mutex
+		// sent is made with the first heartbeat.
 		sent      map[uint64]timekeeper.Millis
 		confirmed timekeeper.Millis
 		// bySelf tells that this daemon confirmed itself, as the lead.
@@ -67,12 +69,11 @@
 	}
 )
 
-// Start prepares j. It must be called before anything else.
+// Start takes up the membership. Every other method may be called before, at the
+// same time or after: the listeners of a daemon serve while it still waits for
+// its first settings.
 func (j *Joiner) Start(ctx context.Context) {
-	j.pause.clock = j.Clock
-	j.poke = make(chan struct{}, 1)
-	j.sent = map[uint64]timekeeper.Millis{}
-	go j.pause.loop(ctx)
+	go j.runPause(ctx)
 	go j.runLease(ctx)
 	go j.runBeats(ctx)
 }
@@ -83,7 +84,7 @@
 // reached. While it cannot, nobody else is given what this member has, unless it
 // is silent for longer than a pause may take.
 func (j *Joiner) Valid() bool {
-	pauses := j.pause.check()
+	pauses := j.pause.check(j.Clock.Now())
 	j.lock.Lock()
 	defer j.lock.Unlock()
 	if j.confirmed == 0 || pauses != j.pauses {
@@ -104,11 +105,17 @@
 // Poke sends a heartbeat soon, since there is news.
 func (j *Joiner) Poke() {
 	select {
-	case j.poke <- struct{}{}:
+	case j.pokes() <- struct{}{}:
 	default:
 	}
 }
 
+// pokes is the channel of pokes, which holds one.
+func (j *Joiner) pokes() chan struct{} {
+	j.pokeOnce.Do(func() { j.poke = make(chan struct{}, 1) })
+	return j.poke
+}
+
 // LeadHealthy tells whether the lead answered lately.
 func (j *Joiner) LeadHealthy() bool {
 	j.lock.Lock()
@@ -134,6 +141,11 @@
 	return j.lead
 }
 
+// runPause looks for pauses although nobody asks.
+func (j *Joiner) runPause(ctx context.Context) {
+	timekeeper.Every(ctx, pauseTick, func() { j.pause.check(j.Clock.Now()) })
+}
+
 // runLease holds the lease of the lead, or looks whether somebody does. A
 // member whose lead answers leaves the platform alone.
 func (j *Joiner) runLease(ctx context.Context) {
@@ -177,7 +189,7 @@
 		case <-ctx.Done():
 			return
 		case <-t.C:
-		case <-j.poke:
+		case <-j.pokes():
 		}
 	}
 }
@@ -223,13 +235,16 @@
 func (j *Joiner) note(sequence uint64, now timekeeper.Millis) {
 	j.lock.Lock()
 	defer j.lock.Unlock()
+	if j.sent == nil {
+		j.sent = map[uint64]timekeeper.Millis{}
+	}
 	j.sent[sequence] = now
 	delete(j.sent, sequence-sentKept)
 }
 
 // Acked takes the answer to a heartbeat.
 func (j *Joiner) Acked(a *framer.Ack) {
-	pauses := j.pause.check()
+	pauses := j.pause.check(j.Clock.Now())
 	j.lock.Lock()
 	defer j.lock.Unlock()
 	sent, ok := j.sent[a.Sequence]
--- a/internal/process/joiner/pause.go
+++ b/internal/process/joiner/pause.go
@@ -1,7 +1,6 @@
 package joiner
 
 import (
-	"context"
 	"sync/atomic"
 	"time"
 
@@ -20,24 +19,18 @@
 // pauseDetector notices that the process stood still: it was stopped, or its VM
 // was. While a lead confirms a member its clock says as much, but in an outage the
 // membership has no end, and a process that slept through a part of it must not
-// go on as if it had been there. Whichever runs first after the pause, the loop or a question, finds the
-// gap, so no question asked afterwards is answered as if nothing happened.
+// go on as if it had been there. Whichever runs first after the pause, the loop
+// or a question, finds the gap, so no question asked afterwards is answered as if
+// nothing happened.
 type pauseDetector struct {
-	clock  timekeeper.Clock
 	last   atomic.Int64
 	pauses atomic.Uint64
 }
 
-func (d *pauseDetector) loop(ctx context.Context) {
-	d.last.Store(int64(d.clock.Now()))
-	timekeeper.Every(ctx, pauseTick, func() { d.check() })
-}
-
 // check returns how many pauses there were, the one that just ended included.
-func (d *pauseDetector) check() uint64 {
-	now := int64(d.clock.Now())
-	last := d.last.Swap(now)
-	if last != 0 && timekeeper.Millis(now-last) > pauseLimit {
+func (d *pauseDetector) check(now timekeeper.Millis) uint64 {
+	last := timekeeper.Millis(d.last.Swap(int64(now)))
+	if last != 0 && now-last > pauseLimit {
 		return d.pauses.Add(1)
 	}
 	return d.pauses.Load()
