leader, forwarder: heartbeats by numbers, first tries of lost keys

Cause: (1) a lead of 71 members hears 7.7 KB/s under load, reckoned, of 3: names are most of it. (2) TestReplacedVM failed on a busy machine: 37 of 188 requests came back "unknown: home of the key lost" until the roster knew the new life of the VM, although nobody had been handed them; the share depended on how long that took.

Change: (1) loads name services and sites by their numbers in the settings of the heartbeat; the lead keeps the numbers of 8 versions. It asks for at most 32 heartbeats a second, so at 71 members each beats every 2.2 s. (2) The finder marks the first try of a key; an entry that reaches no home then says "not run", which is the truth, and the finder makes a new key.

A key of a lost home: unknown without the mark, not-run with it (TestFirstTryOfLostHome).

--- a/internal/connection/framer/frame.go
+++ b/internal/connection/framer/frame.go
@@ -12,7 +12,7 @@
 
 const (
 	// ProtocolVersion is the version that Hello carries.
-	ProtocolVersion = 1
+	ProtocolVersion = 2
 
 	// MaxFrameBytes bounds what a frame may hold: a platform object and its
 	// envelope.
--- a/internal/connection/framer/frame_test.go
+++ b/internal/connection/framer/frame_test.go
@@ -70,10 +70,11 @@
 		b.Run(fmt.Sprint(n), func(b *testing.B) {
 			m := &framer.Heartbeat{Sequence: 100000, Settings: 4000, Plan: 90000, Revision: 5000000, InFlight: 40}
 			for i := range n {
-				m.Loads = append(m.Loads, &framer.Load{Service: "keg-ledger", Site: "michigan/a", Slots: 48, Busy: 30, Peak: 41})
-				for range 3 {
-					m.Works = append(m.Works, &framer.Work{Service: "keg-ledger", Origin: "michigan/a", SlotMillis: uint64(9000 + i), Requests: 200})
+				l := &framer.Load{Service: 3, Site: 40, Slots: 48, Busy: 30, Peak: 41}
+				for o := range 3 {
+					l.Works = append(l.Works, &framer.Work{Origin: uint32(38 + o), SlotMillis: uint64(9000 + i), Requests: 200})
 				}
+				m.Loads = append(m.Loads, l)
 			}
 			var buffer bytes.Buffer
 			w := framer.NewWriter(&buffer)
--- a/internal/process/joiner/joiner.go
+++ b/internal/process/joiner/joiner.go
@@ -16,11 +16,10 @@
 )
 
 const (
-	// beat is the time between two heartbeats without news.
-	beat = timekeeper.Second
-
-	// leadSilence is how long without an answer the lead counts as lost.
-	leadSilence = 2500 * timekeeper.Millis(1)
+	// leastBeat is the least time between two heartbeats without news, and
+	// longestBeat the longest that a lead may ask for: three fit into Validity.
+	leastBeat   = timekeeper.Second
+	longestBeat = 2500 * timekeeper.Millis(1)
 
 	// Validity is how long a member may act after the lead last confirmed it.
 	// It spans the change of a lead, and is shorter than leader.Silence.
@@ -66,6 +65,8 @@
 		lead     registrar.Incarnation
 		// platformDown is what the lead said last.
 		platformDown bool
+		// beatAsked is the time between heartbeats that the lead asked for.
+		beatAsked timekeeper.Millis
 	}
 )
 
@@ -120,7 +121,20 @@
 func (j *Joiner) LeadHealthy() bool {
 	j.lock.Lock()
 	defer j.lock.Unlock()
-	return j.answered != 0 && j.Clock.Now() < j.answered+leadSilence
+	// Two and a half heartbeats without an answer are a lead lost.
+	return j.answered != 0 && j.Clock.Now() < j.answered+j.interval()*5/2
+}
+
+// Interval is the time between two heartbeats without news. The lead of a large
+// region asks for fewer.
+func (j *Joiner) Interval() timekeeper.Millis {
+	j.lock.Lock()
+	defer j.lock.Unlock()
+	return j.interval()
+}
+
+func (j *Joiner) interval() timekeeper.Millis {
+	return min(max(j.beatAsked, leastBeat), longestBeat)
 }
 
 // Outage tells whether the platform is out of reach, as far as is known here: the
@@ -181,14 +195,12 @@
 }
 
 func (j *Joiner) runBeats(ctx context.Context) {
-	t := time.NewTicker(beat.Duration())
-	defer t.Stop()
 	for {
 		j.beat(ctx)
 		select {
 		case <-ctx.Done():
 			return
-		case <-t.C:
+		case <-time.After(j.Interval().Duration()):
 		case <-j.pokes():
 		}
 	}
@@ -257,6 +269,7 @@
 		j.Lease.Observe(storer.Revision(a.Lease))
 	}
 	j.platformDown = a.PlatformDown
+	j.beatAsked = timekeeper.Millis(a.BeatMillis)
 	if !a.Known {
 		return
 	}
--- a/internal/process/leader/leader.go
+++ b/internal/process/leader/leader.go
@@ -56,8 +56,9 @@
 		// Settings returns the settings in force here.
 		Settings func() (*resolver.Resolved, recorder.Number)
 
-		members *members
-		wake    chan struct{}
+		numberings numberings
+		members    *members
+		wake       chan struct{}
 
 		lock    sync.Mutex
 		cancel  context.CancelFunc
@@ -122,11 +123,14 @@
 		Fence:        uint64(fence),
 		PlatformDown: !l.Lease.Reachable(),
 		Lease:        uint64(l.Lease.Revision()),
+		BeatMillis:   uint32(l.members.beat()),
 	}
 	if !leading {
 		return a
 	}
-	if l.members.hear(from, h, l.Clock.Now(), l.Clock.WallNow()) {
+	settings, number := l.Settings()
+	l.numberings.note(number, settings)
+	if l.members.hear(from, h, l.numberings.read(h), l.Clock.Now(), l.Clock.WallNow()) {
 		l.poke()
 	}
 	a.Known = l.onRoster(from.Incarnation)
--- a/internal/process/leader/members.go
+++ b/internal/process/leader/members.go
@@ -24,6 +24,11 @@
 	// stopped by its own clock.
 	Silence = 9 * timekeeper.Second
 
+	// beatsPerSecond is how many heartbeats a second a lead asks for at most. At
+	// the two years' size, 71 members, each then beats every 2.2 s, of which
+	// three fit into joiner.Validity.
+	beatsPerSecond = 32
+
 	// rejoin is how long a lead that lost its lease has to be heard of as a
 	// member.
 	rejoin = 1500 * timekeeper.Millis(1)
@@ -55,7 +60,7 @@
 		plan     planner.Number
 		leaving  bool
 		dead     bool
-		loads    map[loadKey]*framer.Load
+		loads    map[loadKey]SiteLoad
 		work     map[workKey]usage
 	}
 
@@ -102,7 +107,10 @@
 
 // hear notes a heartbeat and reports whether it brings news: the roster must
 // change, or a number in force did.
-func (m *members) hear(from registrar.Member, h *framer.Heartbeat, now, wall timekeeper.Millis) bool {
+//
+// x is what the heartbeat says of loads, nil when nothing can be read from it; what
+// was heard before stays then.
+func (m *members) hear(from registrar.Member, h *framer.Heartbeat, x *reading, now, wall timekeeper.Millis) bool {
 	m.lock.Lock()
 	defer m.lock.Unlock()
 	r := m.all[from.Incarnation]
@@ -122,8 +130,8 @@
 	r.plan = planner.Number(h.Plan)
 	r.leaving = h.Leaving
 	r.dead = false
-	if h.SpanMillis > 0 {
-		r.measure(h)
+	if x != nil {
+		r.measure(x)
 	}
 	return changed
 }
@@ -138,27 +146,21 @@
 	}
 }
 
-// measure takes the loads and works of a heartbeat. Half of what was known stays,
-// so that one busy span does not move anybody.
-func (r *memberRecord) measure(h *framer.Heartbeat) {
-	r.loads = map[loadKey]*framer.Load{}
-	for _, l := range h.Loads {
-		r.loads[loadKey{registrar.Site(l.Site), resolver.ServiceName(l.Service)}] = l
-	}
+// measure takes what a heartbeat said of loads. Half of what was known of the
+// works stays, so that one busy span does not move anybody.
+func (r *memberRecord) measure(x *reading) {
+	r.loads = x.loads
 	work := map[workKey]usage{}
 	for k, u := range r.work {
 		if u.slots > leastUsage {
 			work[k] = usage{u.slots / 2, u.rate / 2}
 		}
 	}
-	span := float64(h.SpanMillis)
-	for _, w := range h.Works {
-		k := workKey{resolver.ServiceName(w.Service), registrar.Site(w.Origin)}
-		slots, rate := float64(w.SlotMillis)/span, float64(w.Requests)*1000/span
+	for k, u := range x.work {
 		if _, known := r.work[k]; known {
-			slots, rate = slots/2, rate/2
+			u = usage{u.slots / 2, u.rate / 2}
 		}
-		work[k] = usage{work[k].slots + slots, work[k].rate + rate}
+		work[k] = usage{work[k].slots + u.slots, work[k].rate + u.rate}
 	}
 	r.work = work
 }
@@ -193,6 +195,14 @@
 	}
 }
 
+// beat is the time between two heartbeats that m asks of everyone, so that what a
+// lead hears does not grow with its region beyond a limit.
+func (m *members) beat() timekeeper.Millis {
+	m.lock.Lock()
+	defer m.lock.Unlock()
+	return max(timekeeper.Second, timekeeper.Second*timekeeper.Millis(len(m.all))/beatsPerSecond)
+}
+
 // known tells whether the member is on the list.
 func (m *members) known(i registrar.Incarnation) bool {
 	m.lock.Lock()
@@ -260,7 +270,7 @@
 	return math.Round(f*100) / 100
 }
 
-func addLoad(loads map[loadKey]*SiteLoad, k loadKey, l *framer.Load) {
+func addLoad(loads map[loadKey]*SiteLoad, k loadKey, l SiteLoad) {
 	t := loads[k]
 	if t == nil {
 		t = &SiteLoad{Site: k.site, Service: k.service}
--- a/internal/process/runner/control.go
+++ b/internal/process/runner/control.go
@@ -14,6 +14,8 @@
 	"github.com/gullvale/gullvale/internal/connection/pooler"
 	"github.com/gullvale/gullvale/internal/process/leader"
 	"github.com/gullvale/gullvale/internal/process/measurer"
+	"github.com/gullvale/gullvale/internal/version/resolver"
+	"github.com/gullvale/gullvale/pkg/registrar"
 	"github.com/gullvale/gullvale/pkg/storer"
 	"github.com/gullvale/gullvale/pkg/timekeeper"
 )
@@ -22,11 +24,11 @@
 	// announceEvery is the least time between two announcements of free slots.
 	announceEvery = 5 * time.Millisecond
 
-	// Loads are reported at the latest after measureLatest, and at the soonest
-	// after measureSoonest when a pool's use changed by measureStep of its
-	// slots: reports are most of what a member tells its lead.
+	// Loads are reported at the latest after measureLatest heartbeats, and sooner
+	// when a pool's use changed by measureStep of its slots: reports are most of
+	// what a member tells its lead.
 	measureSoonest = timekeeper.Second
-	measureLatest  = 4 * timekeeper.Second
+	measureLatest  = 4
 	measureStep    = 0.25
 )
 
@@ -99,35 +101,45 @@
 	now := d.clock.Now()
 	span := now - d.measured
 	pools := d.owner.Pools()
-	if span < measureSoonest || span < measureLatest && !d.usesChanged(pools) {
+	if span < measureSoonest || span < measureLatest*d.joiner.Interval() && !d.usesChanged(pools) {
+		return
+	}
+	s := d.snapshot.Load()
+	if s == nil {
 		return
 	}
 	d.measured = now
 	h.SpanMillis = uint32(span)
+	n := s.Settings.Numbering()
 	for k, p := range pools {
-		l, work := p.TakeLoad()
-		d.reported[k] = l.Busy
-		if l.Slots > 0 || l.Busy > 0 {
-			h.Loads = append(h.Loads, &framer.Load{
-				Service: string(k.Service),
-				Site:    string(k.Site),
-				Slots:   uint32(l.Slots),
-				Busy:    uint32(l.Busy),
-				Waiting: uint32(l.Waiting),
-				Peak:    uint32(l.Peak),
-			})
-		}
-		for origin, w := range work {
-			h.Works = append(h.Works, &framer.Work{
-				Service:    string(k.Service),
-				Origin:     string(origin),
-				SlotMillis: w.SlotMillis,
-				Requests:   w.Requests,
-			})
+		load, work := p.TakeLoad()
+		d.reported[k] = load.Busy
+		l := loadMessage(n, k, load, work)
+		if l.Service != 0 && l.Site != 0 && (l.Slots > 0 || len(l.Works) > 0) {
+			h.Loads = append(h.Loads, l)
 		}
 	}
 }
 
+func loadMessage(n resolver.Numbering, k pooler.Key, l pooler.Load, work map[registrar.Site]*pooler.Work) *framer.Load {
+	m := &framer.Load{
+		Service: n.ServiceNumber(k.Service),
+		Site:    n.SiteNumber(k.Site),
+		Slots:   uint32(l.Slots),
+		Busy:    uint32(l.Busy),
+		Waiting: uint32(l.Waiting),
+		Peak:    uint32(l.Peak),
+	}
+	for origin, w := range work {
+		m.Works = append(m.Works, &framer.Work{
+			Origin:     n.SiteNumber(origin),
+			SlotMillis: w.SlotMillis,
+			Requests:   w.Requests,
+		})
+	}
+	return m
+}
+
 // usesChanged tells whether a pool's use is far from what was reported last.
 func (d *Daemon) usesChanged(pools map[pooler.Key]*pooler.Pool) bool {
 	for k, p := range pools {
--- a/internal/request/exchanger/exchange.go
+++ b/internal/request/exchanger/exchange.go
@@ -96,6 +96,9 @@
 		Key  string
 		Held bool
 		Look bool
+		// FirstTry tells that the caller sends the key for the first time, so
+		// that a call which was handed to nobody did not run.
+		FirstTry bool
 		// Body is nil when there is none. It is read only after Admitted.
 		Body io.Reader
 		// Short holds the whole body when it is short, so that a refused try
--- a/internal/request/forwarder/forwarder.go
+++ b/internal/request/forwarder/forwarder.go
@@ -171,9 +171,10 @@
 			Length:   r.ContentLength,
 			Deadline: deadline,
 		},
-		Start:   x.start,
-		Write:   x.write,
-		Trailer: x.trailer,
+		FirstTry: r.Header.Get(HeaderFirstTry) != "",
+		Start:    x.start,
+		Write:    x.write,
+		Trailer:  x.trailer,
 	}
 	return c, x.setBody(c)
 }
--- a/internal/request/forwarder/header.go
+++ b/internal/request/forwarder/header.go
@@ -41,7 +41,7 @@
 }
 
 // ownHeaders are for the entry and not for the upstream.
-var ownHeaders = []string{HeaderService, HeaderBlock, HeaderDeadline}
+var ownHeaders = []string{HeaderService, HeaderBlock, HeaderDeadline, HeaderFirstTry}
 
 // requestHeader returns the fields that go on to the upstream.
 func requestHeader(r *http.Request) http.Header {
--- a/internal/request/forwarder/keyed.go
+++ b/internal/request/forwarder/keyed.go
@@ -18,6 +18,9 @@
 const (
 	// HeaderKey names the field that holds a key.
 	HeaderKey = "Idempotency-Key"
+	// HeaderFirstTry says that a key was never sent before. The finder library
+	// sets it; whoever repeats a key must not.
+	HeaderFirstTry = "Gullvale-First-Try"
 	// HeaderReplayed marks an answer that was kept from an earlier try.
 	HeaderReplayed = "Gullvale-Replayed"
 
@@ -70,7 +73,7 @@
 	h, ok := f.home(f.Snapshot(), key)
 	switch {
 	case !ok:
-		return exchanger.Lost(exchanger.ReasonHomeLost, "")
+		return homeLost(c)
 	case h.Incarnation == f.Self().Incarnation:
 		return f.runHome(ctx, c, s, key)
 	}
@@ -87,18 +90,27 @@
 	return f.runHome(ctx, c, s, keykeeper.Key(c.Key))
 }
 
-// runAt hands a call to a daemon for its key. When that cannot be reached this
-// try did not run, but the key may have run there before.
+// homeLost is the result of a call that was handed to nobody, since the home of
+// its key is not reached. This try did not run, but the key may have run there
+// before, unless this is its first try.
+func homeLost(c *exchanger.Call) exchanger.Result {
+	if c.FirstTry {
+		return exchanger.Refused(exchanger.ReasonHomeLost, 0)
+	}
+	return exchanger.Lost(exchanger.ReasonHomeLost, "")
+}
+
+// runAt hands a call to a daemon for its key.
 func (f *Forwarder) runAt(ctx context.Context, c *exchanger.Call, h registrar.Member) exchanger.Result {
 	p := f.Links.Peer(f.Base, h)
 	wait, cancel := context.WithTimeout(ctx, linkWait.Duration())
 	defer cancel()
 	if !p.Await(wait) || !p.Prompt() {
-		return exchanger.Lost(exchanger.ReasonHomeLost, "")
+		return homeLost(c)
 	}
 	r := p.Run(ctx, c, true)
 	if r.Outcome == exchanger.NotRun && r.Reason == exchanger.ReasonLinkDial {
-		return exchanger.Lost(exchanger.ReasonHomeLost, "")
+		return homeLost(c)
 	}
 	return r
 }
--- a/pkg/finder/finder.go
+++ b/pkg/finder/finder.go
@@ -35,6 +35,7 @@
 	headerUpstream   = "Gullvale-Upstream"
 	headerEntry      = "Gullvale-Entry"
 	headerKey        = "Idempotency-Key"
+	headerFirstTry   = "Gullvale-First-Try"
 )
 
 const (
@@ -133,6 +134,13 @@
 		block   string
 	}
 
+	// sentKey is an idempotency key, "" for none, and whether it is sent for the
+	// first time.
+	sentKey struct {
+		value string
+		first bool
+	}
+
 	kept struct {
 		lookup Lookup
 		until  timekeeper.Millis
@@ -252,7 +260,7 @@
 		end = f.Clock.Now() + r.Deadline
 	}
 	last := Response{Outcome: NotRun, Reason: ErrNoEntry.Error()}
-	key := r.Header.Get(headerKey)
+	key := sentKey{value: r.Header.Get(headerKey)}
 	for try := 1; try <= maxTries; try++ {
 		l, err := f.Find(ctx, r.Service, r.Block)
 		if err != nil {
@@ -265,10 +273,11 @@
 			break
 		}
 		e := l.Entries[(try-1)%len(l.Entries)]
-		if r.needsKey() && (key == "" || last.Outcome == NotRun && r.Header.Get(headerKey) == "") {
-			key = newKey(e)
+		if r.needsKey() && (key.value == "" || last.Outcome == NotRun && r.Header.Get(headerKey) == "") {
+			key = sentKey{value: newKey(e), first: true}
 		}
 		last = f.sendTo(ctx, e, r, key, end)
+		key.first = false
 		last.Tries = try
 		if !f.again(r, last, end) {
 			break
@@ -307,7 +316,7 @@
 	return e.Incarnation + "." + hex.EncodeToString(b)
 }
 
-func (f *Finder) sendTo(ctx context.Context, e Entry, r Request, key string, end timekeeper.Millis) Response {
+func (f *Finder) sendTo(ctx context.Context, e Entry, r Request, key sentKey, end timekeeper.Millis) Response {
 	var sent atomic.Bool
 	t := &httptrace.ClientTrace{WroteHeaders: func() { sent.Store(true) }}
 	q, err := http.NewRequestWithContext(httptrace.WithClientTrace(ctx, t), r.Method, "http://"+e.Address+r.Target, bodyOf(r.Body))
@@ -328,11 +337,14 @@
 	if end > 0 {
 		q.Header.Set(headerDeadline, strconv.FormatInt(int64(max(end-f.Clock.Now(), 1)), 10))
 	}
-	if key != "" {
+	if key.value != "" {
 		// In lower case the transport does not take it as leave to repeat the
 		// request by itself.
 		delete(q.Header, headerKey)
-		q.Header[strings.ToLower(headerKey)] = []string{key}
+		q.Header[strings.ToLower(headerKey)] = []string{key.value}
+	}
+	if key.first {
+		q.Header.Set(headerFirstTry, "1")
 	}
 	p, err := f.client().Do(q)
 	if err != nil {
--- a/test/keys_test.go
+++ b/test/keys_test.go
@@ -19,12 +19,20 @@
 // post sends a POST with a key and returns the outcome, the body, and whether the
 // answer was kept from an earlier try.
 func (d *daemon) post(key string) (outcome, body string, replayed bool, err error) {
+	return d.postAs(key, "")
+}
+
+// postAs says first that this is the first try of the key, when it is not "".
+func (d *daemon) postAs(key, first string) (outcome, body string, replayed bool, err error) {
 	q, err := http.NewRequest(http.MethodPost, "http://"+d.callers+"/x?Bytes=40&Token="+key, strings.NewReader("one keg back"))
 	if err != nil {
 		return "", "", false, err
 	}
 	q.Header.Set("Gullvale-Service", "keg-ledger")
 	q.Header["idempotency-key"] = []string{key}
+	if first != "" {
+		q.Header.Set("Gullvale-First-Try", first)
+	}
 	p, err := http.DefaultClient.Do(q)
 	if err != nil {
 		return "", "", false, err
@@ -34,6 +42,24 @@
 	return p.Header.Get("Gullvale-Outcome"), string(b), p.Header.Get("Gullvale-Replayed") != "", err
 }
 
+// TestFirstTryOfLostHome sends a key whose home is no member: only a first try is
+// known not to have run.
+func TestFirstTryOfLostHome(t *testing.T) {
+	is := is.New(t)
+	text, _ := twoUpstreams(t)
+	d := startDaemon(t, daemonOptions{name: "erie-0", region: "erie", domain: "a", platform: startPlatform(t)})
+	d.apply(1, text)
+	const key = "00000000000000aa.1"
+	for _, c := range []struct {
+		first string
+		want  string
+	}{{"", "unknown"}, {"1", "not-run"}} {
+		outcome, _, _, err := d.postAs(key, c.first)
+		is.NoErr(err)
+		is.Equal(outcome, c.want)
+	}
+}
+
 // TestKeysRunOnce sends each key several times at once through all entries, kills
 // a daemon, and sends all keys again. No key may ever run twice, and all who are
 // answered get the same answer.
