linker, leader, packer: what control costs under load is bounded

Cause: counted on the wire, pings (every 250 ms and link, 2 s keep-alives) and announcements of free slots were no part of the 3 KB/s that docs/CAPACITY.md reckoned with, and both grow: pings with links, announcements with requests. Plans, rosters and summaries are JSON that repeats the same names to every daemon.

Change: a link is asked for a sign of life only when nothing came over it; the pings of all quiet links in use have a budget of 1 KB/s. Free slots ride on the end of every request, announcements tell only what the receiver does not know to an eighth and have 768 B/s. Objects above 512 B are packed (pkg/packer, gzip). Summaries are written early when what origins use changed, no more for the slots in use at a moment; the rate of requests, which nobody read, is gone. Status counts all bytes on links and pings. The demo times the steps of a shift by the plan's own clock: polled status said 248.7 and 251.1 %/min of 240 where the planner's steps give 228.1.

--- a/internal/connection/linker/call.go
+++ b/internal/connection/linker/call.go
@@ -19,12 +19,18 @@
 // outCall is one request handed over a link.
 type outCall struct {
 	call    *exchanger.Call
+	peer    *Peer
 	stream  io.ReadWriteCloser
 	writer  *framer.Writer
 	reader  *framer.Reader
 	started bool
 }
 
+// poolOf is the pool that a call needs a slot of.
+func poolOf(c *exchanger.Call) pooler.Key {
+	return pooler.Key{Site: c.Site, Service: c.Service}
+}
+
 // Run hands a call to the peer. With relay the peer may choose the owner.
 func (p *Peer) Run(ctx context.Context, c *exchanger.Call, relay bool) exchanger.Result {
 	s := p.session.Load()
@@ -36,7 +42,9 @@
 		return exchanger.Refused(exchanger.ReasonLinkDial, 0)
 	}
 	defer stream.Close()
-	p.take(pooler.Key{Site: c.Site, Service: c.Service})
+	p.take(poolOf(c))
+	p.waiting.Add(1)
+	defer p.waiting.Add(-1)
 	p.manager.counters.Handed.Add(1)
 	now := p.manager.Clock.Now()
 	if c.Deadline > 0 {
@@ -44,18 +52,18 @@
 	}
 	stop := context.AfterFunc(ctx, func() { stream.SetDeadline(time.Now()) })
 	defer stop()
-	o := &outCall{call: c, stream: stream, writer: framer.NewWriter(stream), reader: framer.NewReader(stream)}
+	o := &outCall{call: c, peer: p, stream: stream, writer: framer.NewWriter(stream), reader: framer.NewReader(stream)}
 	if err := o.writer.Message(framer.KindRequest, requestMessage(c, relay, now)); err != nil {
-		return o.lost(ctx, p)
+		return o.lost(ctx)
 	}
-	return o.run(ctx, p)
+	return o.run(ctx)
 }
 
-func (o *outCall) run(ctx context.Context, p *Peer) exchanger.Result {
+func (o *outCall) run(ctx context.Context) exchanger.Result {
 	for {
 		f, err := o.reader.Read()
 		if err != nil {
-			return o.lost(ctx, p)
+			return o.lost(ctx)
 		}
 		r, done := o.frame(f)
 		if done {
@@ -109,6 +117,9 @@
 	if len(m.Trailers) > 0 && o.call.Trailer != nil {
 		o.call.Trailer(fromHeaders(m.Trailers))
 	}
+	if m.Slots > 0 {
+		o.peer.setFree(poolOf(o.call), int(m.Free), int(m.Slots))
+	}
 	return exchanger.Result{
 		Outcome:    exchanger.Outcome(m.Outcome),
 		Whole:      m.Whole,
@@ -139,15 +150,15 @@
 
 // lost is the result when the stream ended before the owner said how the call
 // ended. The owner may have sent the request on.
-func (o *outCall) lost(ctx context.Context, p *Peer) exchanger.Result {
+func (o *outCall) lost(ctx context.Context) exchanger.Result {
 	reason := exchanger.ReasonLinkLost
 	switch {
 	case ctx.Err() != nil:
 		reason = exchanger.ReasonCancelled
-	case o.call.Deadline > 0 && p.manager.Clock.Now() >= o.call.Deadline:
+	case o.call.Deadline > 0 && o.peer.manager.Clock.Now() >= o.call.Deadline:
 		reason = exchanger.ReasonDeadline
 	default:
-		p.manager.counters.Lost.Add(1)
+		o.peer.manager.counters.Lost.Add(1)
 	}
 	if o.started {
 		return exchanger.Result{Outcome: exchanger.Answered, Reason: reason}
--- /dev/null
+++ b/internal/connection/linker/link_test.go
@@ -0,0 +1,122 @@
+package linker_test
+
+import (
+	"context"
+	"net"
+	"sync/atomic"
+	"testing"
+	"time"
+
+	"github.com/matryer/is"
+
+	"github.com/gullvale/gullvale/internal/connection/linker"
+	"github.com/gullvale/gullvale/internal/connection/pooler"
+	"github.com/gullvale/gullvale/internal/request/exchanger"
+	"github.com/gullvale/gullvale/pkg/registrar"
+	"github.com/gullvale/gullvale/pkg/timekeeper"
+)
+
+var pool = pooler.Key{Site: "erie/a", Service: "keg-ledger"}
+
+// standing is a clock that stands still until it is moved.
+type standing struct{ now atomic.Int64 }
+
+func (s *standing) clock() timekeeper.Clock {
+	s.now.Store(1000)
+	return timekeeper.Clock{Monotonic: func() timekeeper.Millis { return timekeeper.Millis(s.now.Load()) }}
+}
+
+// linked starts two managers, and returns them with the link from one to the other.
+func linked(t *testing.T, clock timekeeper.Clock) (from, to *linker.Manager, p *linker.Peer) {
+	t.Helper()
+	ctx, cancel := context.WithCancel(context.Background())
+	t.Cleanup(cancel)
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	member := registrar.Member{Incarnation: "b", Site: "erie/a", Links: l.Addr().String()}
+	from = &linker.Manager{Clock: clock, Self: func() registrar.Member {
+		return registrar.Member{Incarnation: "a", Site: "erie/a"}
+	}}
+	accepted := make(chan struct{})
+	to = &linker.Manager{
+		Clock:    clock,
+		Self:     func() registrar.Member { return member },
+		Accepted: func(*linker.Session) { close(accepted) },
+		Serve: func(context.Context, *exchanger.Call, bool) exchanger.Result {
+			return exchanger.Result{Outcome: exchanger.Answered, Whole: true, Upstream: "u"}
+		},
+		FreeOf: func(pooler.Key) (int, int) { return 5, 12 },
+	}
+	go to.Accept(ctx, l)
+	p = from.Peer(ctx, member)
+	if !p.Await(ctx) {
+		t.Fatal("no link")
+	}
+	<-accepted
+	return from, to, p
+}
+
+func call() *exchanger.Call {
+	return &exchanger.Call{
+		Head:  exchanger.Head{ID: "1", Site: pool.Site, Service: pool.Service, Method: "GET", Target: "/"},
+		Start: func(exchanger.Answer) error { return nil },
+		Write: func([]byte) error { return nil },
+	}
+}
+
+// TestAnswersCarryFreeSlots runs one request over a link: its end tells the sender
+// what is free, with no frame of its own.
+func TestAnswersCarryFreeSlots(t *testing.T) {
+	is := is.New(t)
+	var s standing
+	_, to, p := linked(t, s.clock())
+	frames := to.Counters().Frames.Load()
+	r := p.Run(context.Background(), call(), false)
+	is.Equal(r.Outcome, exchanger.Answered)
+	free, slots := p.Free(pool)
+	is.Equal(free, 5)
+	is.Equal(slots, 12)
+	is.Equal(to.Counters().Frames.Load(), frames)
+	// What the sender knows is not told again; what is far from it is.
+	is.True(to.Announce(pool, 5, 12))
+	is.Equal(to.Counters().Frames.Load(), frames)
+	is.True(to.Announce(pool, 0, 12))
+	is.Equal(to.Counters().Frames.Load(), frames+1)
+}
+
+// TestAnnouncementsHaveABudget changes the free slots far more often than may be
+// told: what cannot be told now is reported, and can be told later.
+func TestAnnouncementsHaveABudget(t *testing.T) {
+	is := is.New(t)
+	var s standing
+	_, to, _ := linked(t, s.clock())
+	before := to.Counters().ControlOut.Load()
+	refused := 0
+	for i := range 2000 {
+		if !to.Announce(pool, 12*(i%2), 12) {
+			refused++
+		}
+	}
+	is.True(refused > 900)
+	is.True(to.Counters().ControlOut.Load()-before <= 5<<10)
+	s.now.Add(1000)
+	told := to.Announce(pool, 0, 12) && to.Announce(pool, 12, 12)
+	is.True(told)
+}
+
+// TestQuietLinkIsAsked lets nothing come over a link for a while: it is asked for
+// a sign of life once a request was handed over lately, and answers.
+func TestQuietLinkIsAsked(t *testing.T) {
+	is := is.New(t)
+	var s standing
+	from, _, p := linked(t, s.clock())
+	is.Equal(p.Run(context.Background(), call(), false).Outcome, exchanger.Answered)
+	is.Equal(from.Counters().Pings.Load(), uint64(0))
+	s.now.Add(300)
+	for from.Counters().Pings.Load() == 0 {
+		time.Sleep(time.Millisecond)
+	}
+	is.True(p.Prompt())
+}
--- a/internal/connection/linker/manager.go
+++ b/internal/connection/linker/manager.go
@@ -16,13 +16,7 @@
 	"github.com/gullvale/gullvale/pkg/timekeeper"
 )
 
-const (
-	// subscribed is how long after a request for an upstream owned here its
-	// sender is told of free slots.
-	subscribed = 60 * timekeeper.Second
-
-	dialTimeout = 3 * timekeeper.Second
-)
+const dialTimeout = 3 * timekeeper.Second
 
 type (
 	// Manager holds the links of one daemon. Set the exported fields before
@@ -44,11 +38,17 @@
 		// Closed is told of sessions that ended.
 		Closed func(s *Session)
 
+		// FreeOf returns the free slots and slots of a pool owned here. They
+		// ride on answers.
+		FreeOf func(pooler.Key) (free, slots int)
+
 		counters Counters
 
 		lock     sync.Mutex
 		peers    map[registrar.Incarnation]*Peer
 		accepted map[*Session]struct{}
+
+		announcing announcing
 	}
 )
 
@@ -71,7 +71,7 @@
 }
 
 func (m *Manager) runAccepted(ctx context.Context, conn net.Conn) {
-	s, err := accept(conn, m.Self(), &m.counters)
+	s, err := accept(m.wire(conn, silenceLimit), m.Self())
 	if err != nil {
 		return
 	}
@@ -177,27 +177,6 @@
 	return out
 }
 
-// Announce tells the free slots of a pool to those who hand requests to it: the
-// daemons of its site, and others that did so lately.
-func (m *Manager) Announce(k pooler.Key, free, slots int) {
-	since := m.Clock.Now() - subscribed
-	for _, s := range m.Sessions() {
-		if s.remote.Site == k.Site || s.usedSince(since) {
-			m.Tell(s, k, free, slots)
-		}
-	}
-}
-
-// Tell tells one link the free slots of a pool.
-func (m *Manager) Tell(s *Session, k pooler.Key, free, slots int) {
-	m.send(s, framer.KindFree, &framer.Free{
-		Service: string(k.Service),
-		Site:    string(k.Site),
-		Free:    int32(free),
-		Slots:   uint32(slots),
-	})
-}
-
 // Fetch asks the daemon at an address, whoever it is, for the relayed objects
 // behind a revision. It hands batches to take until that returns false.
 func (m *Manager) Fetch(ctx context.Context, address string, since storer.Revision, take func(storer.Batch) bool,
@@ -208,7 +187,7 @@
 	}
 	stop := context.AfterFunc(ctx, func() { conn.Close() })
 	defer stop()
-	s, err := open(conn, m.Self(), &m.counters)
+	s, err := open(m.wire(conn, 0), m.Self())
 	if err != nil {
 		conn.Close()
 		return err
@@ -235,6 +214,10 @@
 	}
 }
 
+func (m *Manager) wire(c net.Conn, limit timekeeper.Millis) *wire {
+	return newWire(c, m.Clock, &m.counters, limit)
+}
+
 // DialAddress connects to a link address, without speaking there.
 func (m *Manager) DialAddress(ctx context.Context, address string) (net.Conn, error) {
 	ctx, cancel := context.WithTimeout(ctx, dialTimeout.Duration())
--- a/internal/connection/linker/peer.go
+++ b/internal/connection/linker/peer.go
@@ -19,15 +19,6 @@
 )
 
 const (
-	// pingEvery is the time between two pings of a link that carries requests,
-	// and pingLimit how long an answer may take before nothing new is handed
-	// over. The farthest regions are 70 ms there and back.
-	pingEvery = 250 * time.Millisecond
-	pingLimit = 600 * timekeeper.Millis(1)
-
-	// pingAfterUse is how long after a request a link is watched so closely.
-	pingAfterUse = 10 * timekeeper.Second
-
 	firstRedial = 50 * time.Millisecond
 	lastRedial  = 2 * time.Second
 )
@@ -43,6 +34,8 @@
 		once    sync.Once
 		gone    atomic.Bool
 		used    atomic.Int64
+		// waiting counts the requests handed over that are not answered yet.
+		waiting atomic.Int64
 		// asked is when the ping was sent that is not answered yet, 0 for none.
 		asked atomic.Int64
 
@@ -78,37 +71,6 @@
 	return p.session.Load() != nil
 }
 
-// Prompt tells whether the other end answers. One that stands still keeps its
-// connection; what it is handed may run much later or never.
-func (p *Peer) Prompt() bool {
-	asked := p.asked.Load()
-	return p.Up() && (asked == 0 || p.manager.Clock.Now()-timekeeper.Millis(asked) < pingLimit)
-}
-
-// runPings watches a link while it is in use.
-func (p *Peer) runPings(ctx context.Context, s *Session) {
-	t := time.NewTicker(pingEvery)
-	defer t.Stop()
-	for {
-		select {
-		case <-ctx.Done():
-			return
-		case <-s.mux.CloseChan():
-			return
-		case <-t.C:
-		}
-		if p.manager.Clock.Now()-p.lastUse() > pingAfterUse {
-			continue
-		}
-		p.asked.Store(int64(p.manager.Clock.Now()))
-		_, err := s.mux.Ping()
-		if err != nil {
-			return
-		}
-		p.asked.Store(0)
-	}
-}
-
 // Gone tells that the last dial proved the member dead: nothing listens at its
 // address, or another process does.
 func (p *Peer) Gone() bool {
@@ -160,7 +122,7 @@
 	if err != nil {
 		return false
 	}
-	s, err := open(conn, p.manager.Self(), &p.manager.counters)
+	s, err := open(p.manager.wire(conn, 0), p.manager.Self())
 	if err != nil {
 		conn.Close()
 		return false
@@ -215,9 +177,13 @@
 		return
 	}
 	k := pooler.Key{Site: registrar.Site(m.Site), Service: resolver.ServiceName(m.Service)}
+	p.setFree(k, int(m.Free), int(m.Slots))
+}
+
+func (p *Peer) setFree(k pooler.Key, free, slots int) {
 	p.lock.Lock()
 	defer p.lock.Unlock()
-	p.free[k] = &freeSlots{free: int(m.Free), slots: int(m.Slots)}
+	p.free[k] = &freeSlots{free: free, slots: slots}
 }
 
 func (p *Peer) forget() {
--- a/internal/connection/linker/serve.go
+++ b/internal/connection/linker/serve.go
@@ -7,6 +7,7 @@
 	"net/http"
 
 	"github.com/gullvale/gullvale/internal/connection/framer"
+	"github.com/gullvale/gullvale/internal/connection/pooler"
 	"github.com/gullvale/gullvale/internal/request/exchanger"
 	"github.com/gullvale/gullvale/internal/version/resolver"
 	"github.com/gullvale/gullvale/pkg/registrar"
@@ -51,14 +52,29 @@
 	c := in.call(&q, m.Clock.Now())
 	go in.runRead()
 	r := m.Serve(ctx, c, q.Relay)
-	_ = in.writer.Message(framer.KindEnd, &framer.End{
+	end := &framer.End{
 		Outcome:          uint32(r.Outcome),
 		Whole:            r.Whole,
 		Reason:           string(r.Reason),
 		RetryAfterMillis: int64(r.RetryAfter),
 		Upstream:         r.Upstream,
 		Trailers:         toHeaders(in.trailer),
-	})
+	}
+	if !q.Relay {
+		m.addFree(s, poolOf(c), end)
+	}
+	_ = in.writer.Message(framer.KindEnd, end)
+}
+
+// addFree tells with the end of a request what is free after it.
+func (m *Manager) addFree(s *Session, k pooler.Key, end *framer.End) {
+	if m.FreeOf == nil {
+		return
+	}
+	free, slots := m.FreeOf(k)
+	end.Free = int32(free)
+	end.Slots = uint32(slots)
+	s.noteTold(k, free)
 }
 
 // call builds the call whose answer goes back over the stream.
--- a/internal/connection/linker/session.go
+++ b/internal/connection/linker/session.go
@@ -3,6 +3,7 @@
 import (
 	"io"
 	"net"
+	"sync"
 	"sync/atomic"
 	"time"
 
@@ -11,24 +12,30 @@
 	"google.golang.org/protobuf/proto"
 
 	"github.com/gullvale/gullvale/internal/connection/framer"
+	"github.com/gullvale/gullvale/internal/connection/pooler"
 	"github.com/gullvale/gullvale/pkg/registrar"
 	"github.com/gullvale/gullvale/pkg/timekeeper"
 )
 
 const (
-	// keepAlive finds half-open links. A ping that is not answered within
-	// writeTimeout ends the session.
-	keepAlive    = 2 * time.Second
+	// writeTimeout ends a session whose ping is not answered for so long.
 	writeTimeout = 4 * time.Second
 
+	// envelopeBytes is what yamux adds to a frame.
+	envelopeBytes = 12
+
 	acceptBacklog = 4096
 	helloTimeout  = 5 * time.Second
 )
 
 type (
-	// Counters counts the control traffic of a daemon, in bytes on its control
-	// streams, and the requests on its links.
+	// Counters counts the traffic on the links of a daemon. Control is bytes on
+	// control streams with their envelopes; Wire is all bytes, requests and
+	// pings included.
 	Counters struct {
+		WireIn     atomic.Uint64
+		WireOut    atomic.Uint64
+		Pings      atomic.Uint64
 		ControlIn  atomic.Uint64
 		ControlOut atomic.Uint64
 		Frames     atomic.Uint64
@@ -41,6 +48,7 @@
 	// Session is one live link.
 	Session struct {
 		remote  registrar.Member
+		wire    *wire
 		mux     *yamux.Session
 		control net.Conn
 		writer  *framer.Writer
@@ -48,6 +56,10 @@
 		// direct is when this session last carried a request for an upstream
 		// owned here.
 		direct atomic.Int64
+
+		lock sync.Mutex
+		// told is the free slots that the other end was told last.
+		told map[pooler.Key]int
 	}
 
 	// counted counts the bytes of a control stream.
@@ -65,7 +77,7 @@
 
 func (c counted) Write(p []byte) (int, error) {
 	n, err := c.Conn.Write(p)
-	c.counters.ControlOut.Add(uint64(n))
+	c.counters.ControlOut.Add(uint64(n) + envelopeBytes)
 	c.counters.Frames.Add(1)
 	return n, err
 }
@@ -73,14 +85,16 @@
 func config() *yamux.Config {
 	c := yamux.DefaultConfig()
 	c.AcceptBacklog = acceptBacklog
-	c.KeepAliveInterval = keepAlive
+	// Links are watched by what comes over them and by pings of our own, which
+	// have a budget.
+	c.EnableKeepAlive = false
 	c.ConnectionWriteTimeout = writeTimeout
 	c.LogOutput = io.Discard
 	return c
 }
 
 // open starts a session on a connection that this side dialled.
-func open(conn net.Conn, self registrar.Member, counters *Counters) (*Session, error) {
+func open(conn *wire, self registrar.Member) (*Session, error) {
 	mux, err := yamux.Client(conn, config())
 	if err != nil {
 		return nil, eris.Wrap(err, "start link")
@@ -90,11 +104,11 @@
 		mux.Close()
 		return nil, eris.Wrap(err, "open control stream")
 	}
-	return greet(newSession(mux, stream, counters), self)
+	return greet(newSession(conn, mux, stream), self)
 }
 
 // accept starts a session on a connection that the other side dialled.
-func accept(conn net.Conn, self registrar.Member, counters *Counters) (*Session, error) {
+func accept(conn *wire, self registrar.Member) (*Session, error) {
 	mux, err := yamux.Server(conn, config())
 	if err != nil {
 		return nil, eris.Wrap(err, "start link")
@@ -106,12 +120,12 @@
 		mux.Close()
 		return nil, eris.Wrap(err, "accept control stream")
 	}
-	return greet(newSession(mux, stream, counters), self)
+	return greet(newSession(conn, mux, stream), self)
 }
 
-func newSession(mux *yamux.Session, stream net.Conn, counters *Counters) *Session {
-	c := counted{stream, counters}
-	return &Session{mux: mux, control: c, writer: framer.NewWriter(c), reader: framer.NewReader(c)}
+func newSession(w *wire, mux *yamux.Session, stream net.Conn) *Session {
+	c := counted{stream, w.counters}
+	return &Session{wire: w, mux: mux, control: c, writer: framer.NewWriter(c), reader: framer.NewReader(c)}
 }
 
 // greet exchanges Hello frames: each side says who it is.
--- a/internal/connection/pooler/pool.go
+++ b/internal/connection/pooler/pool.go
@@ -25,19 +25,13 @@
 		settings  *resolver.Service
 		upstreams []*upstream
 		waiting   *list.List
-		work      map[registrar.Site]*Work
+		work      map[registrar.Site]timekeeper.Millis
 		peak      int
 		notify    func()
 
 		broken atomic.Uint64
 	}
 
-	// Work is what the requests of one origin used.
-	Work struct {
-		SlotMillis uint64
-		Requests   uint64
-	}
-
 	// Load is the state of a pool at one moment.
 	Load struct {
 		Slots   int
@@ -59,7 +53,7 @@
 		clock:    c,
 		settings: s,
 		waiting:  list.New(),
-		work:     map[registrar.Site]*Work{},
+		work:     map[registrar.Site]timekeeper.Millis{},
 		notify:   notify,
 	}
 }
@@ -225,13 +219,7 @@
 func (p *Pool) account(origin registrar.Site, held timekeeper.Millis) {
 	p.lock.Lock()
 	defer p.lock.Unlock()
-	w := p.work[origin]
-	if w == nil {
-		w = &Work{}
-		p.work[origin] = w
-	}
-	w.SlotMillis += uint64(held)
-	w.Requests++
+	p.work[origin] += held
 }
 
 // Free returns how many requests more could start now, below 0 by the number
@@ -256,13 +244,14 @@
 	return Load{Slots: slots, Busy: p.busy(), Waiting: p.waiting.Len(), Peak: p.peak}
 }
 
-// TakeLoad returns the load and the work since the last call.
-func (p *Pool) TakeLoad() (Load, map[registrar.Site]*Work) {
+// TakeLoad returns the load and, by origin, how long slots were held since the last
+// call.
+func (p *Pool) TakeLoad() (Load, map[registrar.Site]timekeeper.Millis) {
 	l := p.Load()
 	p.lock.Lock()
 	defer p.lock.Unlock()
 	p.peak = l.Busy
 	w := p.work
-	p.work = map[registrar.Site]*Work{}
+	p.work = map[registrar.Site]timekeeper.Millis{}
 	return l, w
 }
--- a/internal/process/leader/members.go
+++ b/internal/process/leader/members.go
@@ -33,6 +33,9 @@
 	// member.
 	rejoin = 1500 * timekeeper.Millis(1)
 
+	// digits is how many digits of an average a summary tells.
+	digits = 3
+
 	// leastUsage is the use of slots below which an origin is forgotten.
 	leastUsage = 0.001
 
@@ -74,12 +77,9 @@
 		origin  registrar.Site
 	}
 
-	// usage is the slots in use by an origin's requests, and their rate a
-	// second, at the upstreams of one member.
-	usage struct {
-		slots float64
-		rate  float64
-	}
+	// usage is the slots in use on average by an origin's requests at the
+	// upstreams of one member.
+	usage float64
 )
 
 func newMembers() *members {
@@ -152,15 +152,15 @@
 	r.loads = x.loads
 	work := map[workKey]usage{}
 	for k, u := range r.work {
-		if u.slots > leastUsage {
-			work[k] = usage{u.slots / 2, u.rate / 2}
+		if u > leastUsage {
+			work[k] = u / 2
 		}
 	}
 	for k, u := range x.work {
 		if _, known := r.work[k]; known {
-			u = usage{u.slots / 2, u.rate / 2}
+			u /= 2
 		}
-		work[k] = usage{work[k].slots + u.slots, work[k].rate + u.rate}
+		work[k] += u
 	}
 	r.work = work
 }
@@ -233,7 +233,7 @@
 	work := map[workKey]usage{}
 	for _, r := range m.all {
 		for k, u := range r.work {
-			work[k] = usage{work[k].slots + u.slots, work[k].rate + u.rate}
+			work[k] += u
 		}
 		for k, l := range r.loads {
 			addLoad(loads, k, l)
@@ -243,7 +243,7 @@
 		s.Sites = append(s.Sites, *l)
 	}
 	for k, u := range work {
-		s.Work = append(s.Work, OriginWork{Service: k.service, Origin: k.origin, Slots: hundredths(u.slots), Rate: hundredths(u.rate)})
+		s.Work = append(s.Work, OriginWork{Service: k.service, Origin: k.origin, Slots: rounded(float64(u))})
 	}
 	s.sort()
 }
@@ -266,8 +266,17 @@
 	}
 }
 
-func hundredths(f float64) float64 {
-	return math.Round(f*100) / 100
+// rounded keeps three digits, which is more than averages are worth.
+func rounded(f float64) float64 {
+	if f <= 0 {
+		return 0
+	}
+	unit := math.Pow10(int(math.Floor(math.Log10(f))) - digits + 1)
+	if unit >= 1 {
+		return math.Round(f/unit) * unit
+	}
+	// Division by a whole number keeps the decimal short.
+	return math.Round(f/unit) / math.Round(1/unit)
 }
 
 func addLoad(loads map[loadKey]*SiteLoad, k loadKey, l SiteLoad) {
--- a/internal/process/leader/reading.go
+++ b/internal/process/leader/reading.go
@@ -77,9 +77,6 @@
 func (r *reading) addWorks(names resolver.Numbering, l *framer.Load, span float64) {
 	for _, w := range l.Works {
 		k := workKey{names.Service(l.Service), names.Site(w.Origin)}
-		u := r.work[k]
-		u.slots += float64(w.SlotMillis) / span
-		u.rate += float64(w.Requests) * 1000 / span
-		r.work[k] = u
+		r.work[k] += usage(float64(w.SlotMillis) / span)
 	}
 }
--- a/internal/process/leader/report.go
+++ b/internal/process/leader/report.go
@@ -2,7 +2,6 @@
 
 import (
 	"context"
-	"encoding/json"
 	"errors"
 
 	"github.com/gullvale/gullvale/pkg/leaser"
@@ -14,7 +13,7 @@
 	// summaryEvery is the time between two summaries while only the load
 	// changes, summaryLatest that without any change.
 	summaryEvery  = timekeeper.Second
-	summaryLatest = 4 * timekeeper.Second
+	summaryLatest = 5 * timekeeper.Second
 )
 
 // summaryState is the summary written last.
@@ -41,7 +40,7 @@
 	if !last.known && !l.readSummary(ctx, fence, last) {
 		return
 	}
-	body, err := json.Marshal(next)
+	body, err := next.Encode()
 	if err != nil {
 		return
 	}
--- a/internal/process/leader/summary.go
+++ b/internal/process/leader/summary.go
@@ -1,7 +1,6 @@
 package leader
 
 import (
-	"encoding/json"
 	"math"
 	"slices"
 	"strings"
@@ -11,6 +10,7 @@
 	"github.com/gullvale/gullvale/internal/version/planner"
 	"github.com/gullvale/gullvale/internal/version/resolver"
 	"github.com/gullvale/gullvale/pkg/leaser"
+	"github.com/gullvale/gullvale/pkg/packer"
 	"github.com/gullvale/gullvale/pkg/recorder"
 	"github.com/gullvale/gullvale/pkg/registrar"
 	"github.com/gullvale/gullvale/pkg/timekeeper"
@@ -19,8 +19,9 @@
 // SummaryPrefix is what the names of summary objects start with.
 const SummaryPrefix = "Summary/"
 
-// loadStep is the change of a site's use, as a part of its slots, that is worth a
-// summary before the next regular one.
+// loadStep is the change of what an origin uses of a service, as a part of the
+// region's slots, that is worth a summary before the next regular one. The slots in
+// use at a moment are no such change: under load they always change.
 const loadStep = 0.1
 
 type (
@@ -55,20 +56,24 @@
 		Peak    uint32
 	}
 
-	// OriginWork is the slots that requests of one origin use on average, and
-	// their rate a second.
+	// OriginWork is the slots that requests of one origin use on average.
 	OriginWork struct {
 		Service resolver.ServiceName
 		Origin  registrar.Site
 		Slots   float64
-		Rate    float64
 	}
 )
 
 // DecodeSummary reads a summary object.
 func DecodeSummary(body []byte) (Summary, error) {
 	var s Summary
-	return s, eris.Wrap(json.Unmarshal(body, &s), "summary")
+	err := packer.Unpack(body, &s)
+	return s, eris.Wrap(err, "summary")
+}
+
+// Encode writes a summary object.
+func (s Summary) Encode() ([]byte, error) {
+	return packer.Pack(s)
 }
 
 // Members is how many members the region has, and how many of them leave.
@@ -123,11 +128,31 @@
 	return slices.Equal(a.Numbers, b.Numbers)
 }
 
-// sameLoad tells whether no site's use changed by more than a part of its slots.
+// sameLoad tells whether the slots of all sites are the same, and what origins use
+// of them on average is about the same.
 func sameLoad(a, b Summary) bool {
-	return slices.EqualFunc(a.Sites, b.Sites, func(x, y SiteLoad) bool {
-		most := float64(x.Slots) * loadStep
-		return x.Site == y.Site && x.Service == y.Service && x.Slots == y.Slots &&
-			math.Abs(float64(x.Busy)-float64(y.Busy)) <= most
-	})
+	if !slices.EqualFunc(a.Sites, b.Sites, SiteLoad.sameSlots) {
+		return false
+	}
+	slots := map[resolver.ServiceName]float64{}
+	for _, l := range a.Sites {
+		slots[l.Service] += float64(l.Slots)
+	}
+	change := map[workKey]float64{}
+	for _, w := range a.Work {
+		change[workKey{w.Service, w.Origin}] -= w.Slots
+	}
+	for _, w := range b.Work {
+		change[workKey{w.Service, w.Origin}] += w.Slots
+	}
+	for k, c := range change {
+		if math.Abs(c) > slots[k.service]*loadStep {
+			return false
+		}
+	}
+	return true
+}
+
+func (l SiteLoad) sameSlots(x SiteLoad) bool {
+	return l.Site == x.Site && l.Service == x.Service && l.Slots == x.Slots
 }
--- a/internal/process/operator/api.go
+++ b/internal/process/operator/api.go
@@ -110,6 +110,8 @@
 		Site     registrar.Site
 		Settings recorder.Number
 		Plan     planner.Number
+		// PlanMillis is the wall time at which the planner made the plan.
+		PlanMillis timekeeper.Millis
 		// InForce is on how many of Members the settings here are in force.
 		InForce int
 		Members int
@@ -175,10 +177,14 @@
 
 	// ControlStatus is what this daemon spent on control since it started.
 	ControlStatus struct {
-		UpMillis        timekeeper.Millis
-		LinkBytesIn     uint64
-		LinkBytesOut    uint64
-		LinkFrames      uint64
+		UpMillis     timekeeper.Millis
+		LinkBytesIn  uint64
+		LinkBytesOut uint64
+		LinkFrames   uint64
+		// WireBytes are all bytes on links, requests and pings included.
+		WireBytesIn     uint64
+		WireBytesOut    uint64
+		Pings           uint64
 		RequestsHanded  uint64
 		PlatformReads   uint64
 		PlatformWrites  uint64
--- a/internal/process/runner/control.go
+++ b/internal/process/runner/control.go
@@ -24,6 +24,9 @@
 	// announceEvery is the least time between two announcements of free slots.
 	announceEvery = 5 * time.Millisecond
 
+	// announceLater is when one that the budget did not allow is tried again.
+	announceLater = 50 * time.Millisecond
+
 	// Loads are reported at the latest after measureLatest heartbeats, and sooner
 	// when a pool's use changed by measureStep of its slots: reports are most of
 	// what a member tells its lead.
@@ -121,7 +124,7 @@
 	}
 }
 
-func loadMessage(n resolver.Numbering, k pooler.Key, l pooler.Load, work map[registrar.Site]*pooler.Work) *framer.Load {
+func loadMessage(n resolver.Numbering, k pooler.Key, l pooler.Load, work map[registrar.Site]timekeeper.Millis) *framer.Load {
 	m := &framer.Load{
 		Service: n.ServiceNumber(k.Service),
 		Site:    n.SiteNumber(k.Site),
@@ -133,8 +136,7 @@
 	for origin, w := range work {
 		m.Works = append(m.Works, &framer.Work{
 			Origin:     n.SiteNumber(origin),
-			SlotMillis: w.SlotMillis,
-			Requests:   w.Requests,
+			SlotMillis: uint64(w),
 		})
 	}
 	return m
@@ -222,11 +224,15 @@
 			return
 		case <-wake:
 		}
+		pause := announceEvery
 		for k := range a.take() {
 			free, slots := o.Free(k)
-			m.Announce(k, free, slots)
+			if !m.Announce(k, free, slots) {
+				a.mark(k)
+				pause = announceLater
+			}
 		}
-		time.Sleep(announceEvery)
+		time.Sleep(pause)
 	}
 }
 
--- a/internal/process/runner/daemon.go
+++ b/internal/process/runner/daemon.go
@@ -241,6 +241,7 @@
 		Keys:     &keykeeper.Keeper{Clock: d.clock, Retention: d.keyRetention},
 	}
 	d.links.Serve = d.forwarder.RunLinked
+	d.links.FreeOf = d.owner.Free
 	d.looker = &looker.Looker{Snapshot: d.snapshot.Load, Meter: d.meter}
 	d.changer = &changer.Changer{
 		Clock:    d.clock,
--- a/internal/process/runner/status.go
+++ b/internal/process/runner/status.go
@@ -67,6 +67,7 @@
 	}
 	st.Settings = s.Number
 	st.Plan = s.Plan.Number
+	st.PlanMillis = s.Plan.AtMillis
 	st.Holds = s.Plan.Holds
 	st.Blocks = s.Table.Len()
 	tree, _ := d.applier.State()
@@ -149,6 +150,9 @@
 		LinkBytesIn:     l.ControlIn.Load(),
 		LinkBytesOut:    l.ControlOut.Load(),
 		LinkFrames:      l.Frames.Load(),
+		WireBytesIn:     l.WireIn.Load(),
+		WireBytesOut:    l.WireOut.Load(),
+		Pings:           l.Pings.Load(),
 		RequestsHanded:  l.Handed.Load(),
 		PlatformReads:   p.Reads.Load(),
 		PlatformWrites:  p.Writes.Load(),
--- a/internal/standin/demonstrator/demo.go
+++ b/internal/standin/demonstrator/demo.go
@@ -195,7 +195,7 @@
 		if len(s.Shifts) > 0 {
 			have := s.Shifts[0].Have
 			r.lock.Lock()
-			r.report.noteShift(time.Since(began), have)
+			r.report.noteShift(s.PlanMillis, have)
 			r.lock.Unlock()
 			if have >= shiftShare-0.001 {
 				r.say("shift done after %.1f s", time.Since(began).Seconds())
--- a/internal/version/planner/plan.go
+++ b/internal/version/planner/plan.go
@@ -1,7 +1,6 @@
 package planner
 
 import (
-	"encoding/json"
 	"slices"
 	"strings"
 
@@ -9,6 +8,7 @@
 
 	"github.com/gullvale/gullvale/internal/version/resolver"
 	"github.com/gullvale/gullvale/pkg/leaser"
+	"github.com/gullvale/gullvale/pkg/packer"
 	"github.com/gullvale/gullvale/pkg/recorder"
 	"github.com/gullvale/gullvale/pkg/registrar"
 	"github.com/gullvale/gullvale/pkg/sharer"
@@ -72,15 +72,13 @@
 // Decode reads a plan object.
 func Decode(body []byte) (Plan, error) {
 	var p Plan
-	if err := json.Unmarshal(body, &p); err != nil {
-		return p, eris.Wrap(err, "plan")
-	}
-	return p, nil
+	err := packer.Unpack(body, &p)
+	return p, eris.Wrap(err, "plan")
 }
 
 // Encode writes a plan object.
 func (p Plan) Encode() ([]byte, error) {
-	return json.Marshal(p)
+	return packer.Pack(p)
 }
 
 // Shift returns how far a shift has come.
--- a/pkg/registrar/roster.go
+++ b/pkg/registrar/roster.go
@@ -1,7 +1,6 @@
 package registrar
 
 import (
-	"encoding/json"
 	"slices"
 	"strings"
 
@@ -9,6 +8,7 @@
 
 	"github.com/gullvale/gullvale/pkg/hasher"
 	"github.com/gullvale/gullvale/pkg/leaser"
+	"github.com/gullvale/gullvale/pkg/packer"
 	"github.com/gullvale/gullvale/pkg/timekeeper"
 )
 
@@ -93,17 +93,15 @@
 // Decode reads a roster object.
 func Decode(body []byte) (Roster, error) {
 	var r Roster
-	if err := json.Unmarshal(body, &r); err != nil {
-		return r, eris.Wrap(err, "roster")
-	}
-	return r, nil
+	err := packer.Unpack(body, &r)
+	return r, eris.Wrap(err, "roster")
 }
 
 // Encode writes a roster object, members in order of incarnation.
 func (r Roster) Encode() ([]byte, error) {
 	r.Members = slices.Clone(r.Members)
 	sortMembers(r.Members)
-	return json.Marshal(r)
+	return packer.Pack(r)
 }
 
 // Find returns the member with incarnation i.
