pooler, forwarder, leaser: requests without a chance are refused at once

Cause: a request waited in line until its deadline although the pace of the pool showed that no slot would come in time; an upstream that failed everything it was given kept its share; an entry took any number of requests; nothing asserted in a running fleet that a lease has one holder by fence.

Change: pools know how long slots are held, refuse what cannot be answered by its deadline as not run, and say when the line is expected to have passed. An upstream of which 60% of the latest requests failed is left alone for its back-off, at most a third of a pool at a time. An entry has at most MostInFlight requests (4096), exports stop at half. Status shows the fences of lead and planner and counts invariants broken; the randomised run asserts one process a fence and none broken.

BenchmarkOverload is new.

--- a/internal/connection/pooler/owner.go
+++ b/internal/connection/pooler/owner.go
@@ -277,7 +277,7 @@
 	if err == nil {
 		leaving := r.Header.Get(s.DrainHeader) != ""
 		r.Body.Close()
-		p.observe(u, leaving)
+		p.observe(u, leaving, ok)
 	} else if ctx.Err() == nil {
 		p.markDown(u)
 	}
@@ -296,12 +296,14 @@
 	}
 }
 
-// observe notes an answer of u. The first answer without the mark of leaving
+// observe notes an answer of u, and whether it did well. The first answer without the mark of leaving
 // brings an upstream back that had it.
-func (p *Pool) observe(u *upstream, leaving bool) {
+func (p *Pool) observe(u *upstream, leaving, well bool) {
 	p.lock.Lock()
 	defer p.lock.Unlock()
-	u.succeed()
+	if well {
+		u.succeed()
+	}
 	if u.leaving && !leaving {
 		u.upSince = p.clock.Now()
 	}
--- a/internal/connection/pooler/pool.go
+++ b/internal/connection/pooler/pool.go
@@ -12,7 +12,7 @@
 	"github.com/gullvale/gullvale/pkg/timekeeper"
 )
 
-// retryAfter is when a caller that was refused for want of a slot should come
+// retryAfter is when a caller that was refused for want of an upstream should come
 // back.
 const retryAfter = timekeeper.Second
 
@@ -28,6 +28,10 @@
 		work      map[registrar.Site]timekeeper.Millis
 		peak      int
 		notify    func()
+		// pace is how long a slot is held on average, in milliseconds.
+		pace float64
+		// ejections counts upstreams taken out for their failures.
+		ejections uint64
 
 		broken atomic.Uint64
 	}
@@ -39,6 +43,8 @@
 		Waiting int
 		// Peak is the highest Busy since the load was last taken.
 		Peak int
+		// Ejections counts upstreams taken out for their failures.
+		Ejections uint64
 	}
 
 	// waiter is a request in line. Its channel receives the upstream whose
@@ -69,7 +75,7 @@
 			return u, exchanger.Result{}
 		}
 	}
-	if r, refused := p.refusal(); refused {
+	if r, refused := p.refusal(deadline); refused {
 		p.lock.Unlock()
 		return nil, r
 	}
@@ -81,7 +87,7 @@
 }
 
 // refusal tells why a request may not wait. The caller holds the lock.
-func (p *Pool) refusal() (exchanger.Result, bool) {
+func (p *Pool) refusal(deadline timekeeper.Millis) (exchanger.Result, bool) {
 	if len(p.upstreams) == 0 {
 		return exchanger.Refused(exchanger.ReasonNotOwner, retryAfter), true
 	}
@@ -89,7 +95,10 @@
 		return exchanger.Refused(exchanger.ReasonNoUpstream, retryAfter), true
 	}
 	if p.waiting.Len() >= p.settings.QueueLength {
-		return exchanger.Refused(exchanger.ReasonQueueFull, retryAfter), true
+		return p.full(exchanger.ReasonQueueFull), true
+	}
+	if p.tooLate(deadline) {
+		return p.full(exchanger.ReasonNoTime), true
 	}
 	return exchanger.Result{}, false
 }
@@ -220,6 +229,7 @@
 	p.lock.Lock()
 	defer p.lock.Unlock()
 	p.work[origin] += held
+	p.notePace(held)
 }
 
 // Free returns how many requests more could start now, below 0 by the number
@@ -241,7 +251,7 @@
 	_, slots := p.Free()
 	p.lock.Lock()
 	defer p.lock.Unlock()
-	return Load{Slots: slots, Busy: p.busy(), Waiting: p.waiting.Len(), Peak: p.peak}
+	return Load{Slots: slots, Busy: p.busy(), Waiting: p.waiting.Len(), Peak: p.peak, Ejections: p.ejections}
 }
 
 // TakeLoad returns the load and, by origin, how long slots were held since the last
--- a/internal/connection/pooler/send.go
+++ b/internal/connection/pooler/send.go
@@ -23,6 +23,8 @@
 		call  *exchanger.Call
 		sent  atomic.Bool
 		began timekeeper.Millis
+		// status is that of the answer, 0 for none.
+		status int
 	}
 
 	// onceBody is a body that the transport can read once only, so that it
@@ -60,7 +62,11 @@
 	if c.Admitted != nil {
 		c.Admitted()
 	}
-	return a.run(ctx)
+	r := a.run(ctx)
+	if a.sent.Load() && r.Reason != exchanger.ReasonCancelled && r.Reason != exchanger.ReasonDeadline {
+		p.judge(u, isFailure(r, a.status))
+	}
+	return r
 }
 
 func (a *attempt) finish() {
@@ -83,6 +89,7 @@
 		return a.failed(ctx)
 	}
 	defer p.Body.Close()
+	a.status = p.StatusCode
 	a.observe(p)
 	if p.Header.Get(a.pool.refusalHeader()) != "" {
 		r := exchanger.Refused(exchanger.ReasonUpstreamBusy, retryAfter)
@@ -175,7 +182,7 @@
 // observe acts on what the answer says about the upstream.
 func (a *attempt) observe(p *http.Response) {
 	leaving := p.Header.Get(a.pool.drainHeader()) != ""
-	a.pool.observe(a.up, leaving)
+	a.pool.observe(a.up, leaving, p.StatusCode < http.StatusInternalServerError)
 }
 
 func (a *attempt) answer(p *http.Response) exchanger.Result {
--- a/internal/connection/pooler/upstream.go
+++ b/internal/connection/pooler/upstream.go
@@ -38,6 +38,9 @@
 	// removed tells that this daemon is no longer the owner.
 	removed bool
 
+	// failing is the part of the latest requests that failed.
+	failing float64
+
 	downUntil timekeeper.Millis
 	backOff   timekeeper.Millis
 	upSince   timekeeper.Millis
--- a/internal/process/configurer/config.go
+++ b/internal/process/configurer/config.go
@@ -53,6 +53,7 @@
 		{"Platform.Token", parser.KindText, false, func(c *Config, e parser.Entry) error { c.PlatformToken = e.Text; return nil }},
 		{"LogLevel", parser.KindText, false, func(c *Config, e parser.Entry) error { return level(c, e.Text) }},
 		{"StopMillis", parser.KindNumber, false, func(c *Config, e parser.Entry) error { return millis(&c.StopMillis, e.Text) }},
+		{"MostInFlight", parser.KindNumber, false, func(c *Config, e parser.Entry) error { return count(&c.MostInFlight, e.Text) }},
 	}
 )
 
@@ -86,7 +87,10 @@
 		// StopMillis bounds the wait for requests in flight at a stop; 0 is
 		// no bound.
 		StopMillis timekeeper.Millis
-		Tokens     []Token
+		// MostInFlight is how many requests may be here at once; 0 leaves it
+		// to the forwarder.
+		MostInFlight int64
+		Tokens       []Token
 	}
 
 	field struct {
@@ -219,6 +223,15 @@
 	return nil
 }
 
+func count(to *int64, text string) error {
+	n, err := strconv.ParseInt(text, 10, 64)
+	if err != nil || n < 0 {
+		return fmt.Errorf("%q is not a number of requests", text)
+	}
+	*to = n
+	return nil
+}
+
 func millis(to *timekeeper.Millis, text string) error {
 	n, err := strconv.ParseInt(text, 10, 64)
 	if err != nil || n < 0 {
--- a/internal/process/leader/leader.go
+++ b/internal/process/leader/leader.go
@@ -4,6 +4,7 @@
 	"context"
 	"math/rand/v2"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"github.com/sirupsen/logrus"
@@ -59,6 +60,8 @@
 		numberings numberings
 		members    *members
 		wake       chan struct{}
+		// planner is the lease of the planner, nil before the first lead.
+		planner atomic.Pointer[leaser.Lease]
 
 		lock    sync.Mutex
 		cancel  context.CancelFunc
--- a/internal/process/leader/plan.go
+++ b/internal/process/leader/plan.go
@@ -53,6 +53,7 @@
 		Address: l.Lease.Address,
 		Clock:   l.Clock,
 	}
+	l.planner.Store(lease)
 	go l.runPlannerLease(ctx, lease)
 	p := planning{lease: lease, seen: map[string]seenSummary{}}
 	t := time.NewTicker(planEvery)
@@ -79,6 +80,25 @@
 	}
 }
 
+// PlannerFence returns the fence under which this lead plans, 0 when it does not.
+func (l *Leader) PlannerFence() leaser.Fence {
+	lease := l.planner.Load()
+	if lease == nil {
+		return 0
+	}
+	fence, _ := lease.Held()
+	return fence
+}
+
+// Broken counts broken invariants of the leases.
+func (l *Leader) Broken() uint64 {
+	n := l.Lease.Broken()
+	if lease := l.planner.Load(); lease != nil {
+		n += lease.Broken()
+	}
+	return n
+}
+
 func (l *Leader) runPlannerLease(ctx context.Context, lease *leaser.Lease) {
 	lease.Run(ctx, func(f leaser.Fence, held bool) {
 		l.Log.WithFields(logrus.Fields{"fence": f, "held": held}).Info("planner's lease changed")
--- a/internal/process/operator/api.go
+++ b/internal/process/operator/api.go
@@ -4,6 +4,7 @@
 	"github.com/gullvale/gullvale/internal/version/parser"
 	"github.com/gullvale/gullvale/internal/version/planner"
 	"github.com/gullvale/gullvale/internal/version/resolver"
+	"github.com/gullvale/gullvale/pkg/leaser"
 	"github.com/gullvale/gullvale/pkg/recorder"
 	"github.com/gullvale/gullvale/pkg/registrar"
 	"github.com/gullvale/gullvale/pkg/timekeeper"
@@ -130,6 +131,13 @@
 		// on with what it has.
 		Lead        bool
 		LeadReached bool
+		// Fence is that of the lead's holding, PlannerFence that of the
+		// planner's, 0 where this daemon holds neither. No two daemons ever
+		// show the same.
+		Fence        leaser.Fence
+		PlannerFence leaser.Fence
+		// InvariantsBroken counts what must never be, see docs/FAILURES.md.
+		InvariantsBroken uint64
 		// Valid tells whether this daemon may send to its upstreams.
 		Valid   bool
 		Control ControlStatus
--- a/internal/process/runner/daemon.go
+++ b/internal/process/runner/daemon.go
@@ -239,6 +239,8 @@
 		Meter:    d.meter,
 		Leaving:  d.leaving.Load,
 		Keys:     &keykeeper.Keeper{Clock: d.clock, Retention: d.keyRetention},
+
+		MostInFlight: d.config.MostInFlight,
 	}
 	d.links.Serve = d.forwarder.RunLinked
 	d.links.FreeOf = d.owner.Free
--- a/internal/process/runner/gauges.go
+++ b/internal/process/runner/gauges.go
@@ -29,6 +29,7 @@
 		"plan_number":       float64(s.Plan.Number),
 		"settings_rejected": float64(d.applier.Rejected()),
 		"in_flight":         float64(d.forwarder.InFlight()),
+		"invariants_broken": float64(d.leader.Broken()),
 		"member_valid":      one(d.joiner.Valid()),
 		"lead":              one(leads),
 		"link_bytes_in":     float64(c.LinkBytesIn),
@@ -65,6 +66,7 @@
 		d.meter.Gauge("owned_slots", labels, float64(l.Slots))
 		d.meter.Gauge("busy_slots", labels, float64(l.Busy))
 		d.meter.Gauge("waiting_requests", labels, float64(l.Waiting))
+		d.meter.Gauge("upstream_ejections", labels, float64(l.Ejections))
 	}
 }
 
--- a/internal/process/runner/status.go
+++ b/internal/process/runner/status.go
@@ -86,7 +86,7 @@
 
 // ownStatus describes this daemon itself.
 func (d *Daemon) ownStatus() operator.Status {
-	_, leads := d.leader.Lease.Held()
+	fence, leads := d.leader.Lease.Held()
 	st := operator.Status{
 		Daemon:      d.self.Name,
 		Site:        d.self.Site,
@@ -95,6 +95,10 @@
 		LeadReached: leads || d.joiner.LeadHealthy(),
 		Valid:       d.joiner.Valid(),
 		Control:     d.controlStatus(),
+
+		Fence:            fence,
+		PlannerFence:     d.leader.PlannerFence(),
+		InvariantsBroken: d.leader.Broken(),
 	}
 	for k, p := range d.owner.Pools() {
 		l := p.Load()
--- a/internal/request/exchanger/exchange.go
+++ b/internal/request/exchanger/exchange.go
@@ -24,6 +24,8 @@
 	ReasonNone           Reason = ""
 	ReasonQueueFull      Reason = "queue full"
 	ReasonDeadline       Reason = "deadline"
+	ReasonEntryFull      Reason = "too many requests at the entry"
+	ReasonNoTime         Reason = "no slot in time"
 	ReasonCancelled      Reason = "cancelled"
 	ReasonNoUpstream     Reason = "no upstream"
 	ReasonNotOwner       Reason = "not the owner"
--- a/internal/request/forwarder/forwarder.go
+++ b/internal/request/forwarder/forwarder.go
@@ -42,6 +42,9 @@
 		Leaving func() bool
 		// Keys remembers the requests that carry a key.
 		Keys *keykeeper.Keeper
+		// MostInFlight is how many requests may be here at once; 0 means
+		// DefaultMostInFlight.
+		MostInFlight int64
 
 		budgets  budgets
 		sequence atomic.Uint64
@@ -154,6 +157,9 @@
 	if x.service == nil || site == "" {
 		return x.reject(http.StatusServiceUnavailable, exchanger.ReasonNoEntry, fmt.Sprintf("no site takes %s", name))
 	}
+	if x.shed() {
+		return nil, false
+	}
 	deadline, err := x.deadline()
 	if err != nil {
 		return x.reject(http.StatusBadRequest, exchanger.ReasonBadRequest, err.Error())
--- a/pkg/leaser/lease.go
+++ b/pkg/leaser/lease.go
@@ -5,6 +5,7 @@
 	"encoding/json"
 	"errors"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"github.com/rotisserie/eris"
@@ -68,6 +69,8 @@
 		sentAt    timekeeper.Millis
 		held      bool
 		reachable bool
+		// broken counts records whose fence was lower than one seen before.
+		broken atomic.Uint64
 	}
 )
 
@@ -116,6 +119,12 @@
 	return l.term() / renewals
 }
 
+// Broken counts how often the fence of the lease went down, which must never be:
+// somebody wrote the object who did not hold it.
+func (l *Lease) Broken() uint64 {
+	return l.broken.Load()
+}
+
 // Revision returns the revision of the lease object as last seen. A holder tells
 // it to those who follow it, so that they need not look.
 func (l *Lease) Revision() storer.Revision {
@@ -247,6 +256,9 @@
 	defer l.lock.Unlock()
 	l.reachable = true
 	if o.Revision != l.revision {
+		if r.Fence < l.record.Fence {
+			l.broken.Add(1)
+		}
 		l.revision = o.Revision
 		l.record = r
 		l.seenSince = l.Clock.Now()
--- a/test/faults_test.go
+++ b/test/faults_test.go
@@ -197,7 +197,7 @@
 	return a.Number
 }
 
-func trio(t *testing.T, address string) []*daemon {
+func trio(t testing.TB, address string) []*daemon {
 	t.Helper()
 	var all []*daemon
 	for i := range 3 {
--- a/test/harness_test.go
+++ b/test/harness_test.go
@@ -68,6 +68,8 @@
 		advertise string
 		// callers, links and operators are listened on, "" for any port.
 		callers, links, operators string
+		// more is further lines of the settings.
+		more string
 	}
 )
 
@@ -205,6 +207,7 @@
 Operators = %q
 Seeds = [%s]
 %s
+%s
 
 [Platform]
 Address = %q
@@ -212,7 +215,7 @@
 [Tokens]
 anna = "administer %s"
 `, o.name, o.region, o.domain, anyPort(o.callers), anyPort(o.links), anyPort(o.operators),
-		quoted(o.seeds), advertised(o.advertise), o.platform, operator.HashToken(token))
+		quoted(o.seeds), advertised(o.advertise), o.more, o.platform, operator.HashToken(token))
 	if err := os.WriteFile(file, []byte(text), 0o600); err != nil {
 		t.Fatal(err)
 	}
@@ -272,6 +275,29 @@
 	return p.StatusCode
 }
 
+// metric returns a counter or gauge of the daemon, added up over its labels.
+func (d *daemon) metric(name string) float64 {
+	d.t.Helper()
+	p, err := http.Get("http://" + d.operators + operator.PathMetrics)
+	if err != nil {
+		d.t.Fatal(err)
+	}
+	defer p.Body.Close()
+	var sum float64
+	s := bufio.NewScanner(p.Body)
+	for s.Scan() {
+		text, ok := strings.CutPrefix(s.Text(), "gullvale_"+name)
+		if !ok || !strings.HasPrefix(text, "{") && !strings.HasPrefix(text, " ") {
+			continue
+		}
+		var v float64
+		if _, err := fmt.Sscan(text[strings.LastIndex(text, " ")+1:], &v); err == nil {
+			sum += v
+		}
+	}
+	return sum
+}
+
 // ready waits until the daemon is healthy.
 func (d *daemon) ready() {
 	d.t.Helper()
--- /dev/null
+++ b/test/overload_test.go
@@ -0,0 +1,118 @@
+package integration_test
+
+import (
+	"context"
+	"fmt"
+	"net/http"
+	"net/http/httptest"
+	"testing"
+	"time"
+
+	"github.com/matryer/is"
+
+	"github.com/gullvale/gullvale/internal/standin/caller"
+	"github.com/gullvale/gullvale/pkg/finder"
+	"github.com/gullvale/gullvale/pkg/timekeeper"
+)
+
+// TestEntryShedsExportsFirst fills an entry that may have eight requests at once:
+// exports are refused from the fifth on, short requests from the ninth.
+func TestEntryShedsExportsFirst(t *testing.T) {
+	is := is.New(t)
+	leave := make(chan struct{})
+	h := http.HandlerFunc(func(_ http.ResponseWriter, r *http.Request) {
+		if r.URL.Path == "/x" {
+			<-leave
+		}
+	})
+	ledger, depot := httptest.NewServer(h), httptest.NewServer(h)
+	defer ledger.Close()
+	defer depot.Close()
+	d := startDaemon(t, daemonOptions{name: "erie-1", region: "erie", domain: "a", platform: startPlatform(t),
+		more: "MostInFlight = 8"})
+	d.apply(1, fmt.Sprintf("[Region.erie.Domain.a.Service.keg-ledger]\nUpstreams = [%q]\nSlots = 20\n"+
+		"[Region.erie.Domain.a.Service.manifest-depot]\nUpstreams = [%q]\nSlots = 20\nClass = \"export\"\n", ledger.Listener.Addr(), depot.Listener.Addr()))
+	eventually(t, "all slots are owned", func() bool { return totalSlots(d) == 40 })
+	ended := make(chan string, 20)
+	begin := func(service string) {
+		p, err := d.send(context.Background(), http.MethodGet, service, "/x", nil)
+		if err != nil {
+			ended <- err.Error()
+			return
+		}
+		p.Body.Close()
+		ended <- p.Header.Get("Gullvale-Outcome")
+	}
+	fill := func(service string, upTo int) {
+		for range 4 {
+			go begin(service)
+		}
+		eventually(t, fmt.Sprint(upTo, " requests here"), func() bool { return d.metric("in_flight") == float64(upTo) })
+	}
+	refused := func(service string) {
+		p, err := d.send(context.Background(), http.MethodGet, service, "/x", nil)
+		is.NoErr(err)
+		p.Body.Close()
+		is.Equal(p.StatusCode, http.StatusServiceUnavailable)
+		is.Equal(p.Header.Get("Gullvale-Outcome"), "not-run")
+		is.Equal(p.Header.Get("Gullvale-Reason"), "too many requests at the entry")
+		is.True(p.Header.Get("Retry-After") != "")
+	}
+	fill("manifest-depot", 4)
+	refused("manifest-depot")
+	fill("keg-ledger", 8)
+	refused("keg-ledger")
+	refused("manifest-depot")
+	close(leave)
+	for range 8 {
+		is.Equal(<-ended, "answered")
+	}
+}
+
+// BenchmarkOverload offers more than the upstreams can do, to requests that have
+// half a second: goodput is what is answered, as a part of what 12 slots of 50 ms
+// can do; unknown is what was given up while it ran.
+func BenchmarkOverload(b *testing.B) {
+	const capacity = 12 / 0.05
+	for _, load := range []float64{0.8, 1, 1.5, 3, 10} {
+		b.Run(fmt.Sprint(load), func(b *testing.B) {
+			var upstreams []string
+			for range 2 {
+				upstreams = append(upstreams, startUpstream(b, "--service-millis", "50"))
+			}
+			all := trio(b, startPlatform(b))
+			all[0].apply(3, fmt.Sprintf("[Region.erie.Domain.a.Service.keg-ledger]\nUpstreams = [%q, %q]\nSlots = 6\n", upstreams[0], upstreams[1]))
+			eventually(b, "all slots are owned", func() bool { return totalSlots(all...) == 12 })
+			for b.Loop() {
+				offer(b, load*capacity, all, capacity)
+			}
+		})
+	}
+}
+
+// offer drives requests for a while and reports what became of them.
+func offer(b *testing.B, rate float64, daemons []*daemon, capacity float64) {
+	b.Helper()
+	const length = 10 * time.Second
+	var seeds []string
+	for _, d := range daemons {
+		seeds = append(seeds, d.callers)
+	}
+	f := &finder.Finder{Seeds: seeds, HTTP: caller.NewClient(nil)}
+	var load caller.Load
+	ctx, cancel := context.WithTimeout(context.Background(), length)
+	defer cancel()
+	load.Run(ctx, caller.Stream{
+		Class: "short", Service: "keg-ledger", Rate: rate, PostPart: 0.5, Bytes: 500,
+		Deadline: timekeeper.Second / 2, Blocks: []string{""},
+		Finder: func(string) *finder.Finder { return f }, Seed: 7,
+	})
+	load.Wait()
+	for _, a := range load.Accounts() {
+		b.ReportMetric(float64(a.Answered)/length.Seconds()/capacity, "goodput")
+		b.ReportMetric(float64(a.Unknown), "unknown")
+		b.ReportMetric(float64(a.NotRun), "not-run")
+		b.ReportMetric(float64(a.Latency.ValueAtQuantile(50))/1000, "p50-ms")
+		b.ReportMetric(float64(a.Latency.ValueAtQuantile(99))/1000, "p99-ms")
+	}
+}
--- a/test/owner_test.go
+++ b/test/owner_test.go
@@ -1,39 +1,21 @@
 package integration_test
 
 import (
-	"bufio"
 	"bytes"
 	"encoding/json"
 	"fmt"
 	"net/http"
-	"strings"
 	"testing"
 
 	"github.com/matryer/is"
 
-	"github.com/gullvale/gullvale/internal/process/operator"
 	"github.com/gullvale/gullvale/pkg/lister"
 )
 
 // probesOf returns how many probes a daemon has made.
 func probesOf(d *daemon) int {
 	d.t.Helper()
-	p, err := http.Get("http://" + d.operators + operator.PathMetrics)
-	if err != nil {
-		d.t.Fatal(err)
-	}
-	defer p.Body.Close()
-	n := 0
-	s := bufio.NewScanner(p.Body)
-	for s.Scan() {
-		if strings.HasPrefix(s.Text(), "gullvale_probes{") {
-			var v int
-			if _, err := fmt.Sscan(s.Text()[strings.LastIndex(s.Text(), " ")+1:], &v); err == nil {
-				n += v
-			}
-		}
-	}
-	return n
+	return int(d.metric("probes"))
 }
 
 // TestProbesDoNotGrowWithDaemons has six daemons and one upstream. One daemon
--- a/test/random_test.go
+++ b/test/random_test.go
@@ -34,7 +34,9 @@
 	paused   map[int]bool
 	cut      map[int]bool
 	numbers  map[string]float64
-	history  []string
+	// holders is which process showed a fence of a lease.
+	holders map[string]string
+	history []string
 }
 
 // TestRandomFaults breaks and heals a fleet at random under load: pauses, kills,
@@ -47,6 +49,7 @@
 	c := &chaos{
 		t: t, random: rand.New(rand.NewPCG(*randomSeed, 1)), platform: startPlatform(t),
 		paused: map[int]bool{}, cut: map[int]bool{}, numbers: map[string]float64{},
+		holders: map[string]string{},
 	}
 	text, upstreams := twoUpstreams(t)
 	for i := range 4 {
@@ -62,13 +65,13 @@
 		c.step()
 		// Faults last for a while; nothing is awaited here.
 		time.Sleep(time.Duration(500+c.random.IntN(2500)) * time.Millisecond)
-		c.checkNumbers()
+		c.check()
 	}
 	c.heal()
 	t.Logf("seed %d: %s", *randomSeed, strings.Join(c.history, ", "))
 	eventually(t, "the fleet comes together", func() bool { return c.whole() })
 	c.daemons[0].set(4, "77")
-	c.checkNumbers()
+	c.check()
 	x.flows()
 	x.judge(upstreams...)
 	for _, d := range c.daemons {
@@ -174,21 +177,44 @@
 	}
 }
 
-// checkNumbers asserts that no number in force went down in a process. A new
-// process begins anew.
-func (c *chaos) checkNumbers() {
+// check asserts what must hold in every process at any time.
+func (c *chaos) check() {
 	for i, d := range c.daemons {
 		if c.paused[i] {
 			continue
 		}
 		st := d.state()
-		for name, n := range map[string]float64{"settings": float64(st.Settings), "plan": float64(st.Plan)} {
-			k := incarnationOf(c.t, d) + name
-			if n < c.numbers[k] {
-				c.t.Fatalf("%s of %s went from %g to %g; seed %d: %v", name, d.name, c.numbers[k], n, *randomSeed, c.history)
-			}
-			c.numbers[k] = n
+		if st.InvariantsBroken > 0 {
+			c.t.Fatalf("%d broken invariants in %s; seed %d: %v", st.InvariantsBroken, d.name, *randomSeed, c.history)
+		}
+		c.checkFence(d, "lead", uint64(st.Fence))
+		c.checkFence(d, "planner", uint64(st.PlannerFence))
+		c.checkNumbers(d, st)
+	}
+}
+
+// checkFence asserts that each fence of a lease belongs to one process only.
+func (c *chaos) checkFence(d *daemon, lease string, fence uint64) {
+	if fence == 0 {
+		return
+	}
+	k := fmt.Sprint(lease, " ", fence)
+	who := incarnationOf(c.t, d)
+	if before, ok := c.holders[k]; ok && before != who {
+		c.t.Fatalf("%s held by %s and %s; seed %d: %v", k, before, who, *randomSeed, c.history)
+	}
+	c.holders[k] = who
+}
+
+// checkNumbers asserts that no number in force went down in a process. A new
+// process begins anew.
+func (c *chaos) checkNumbers(d *daemon, st operator.Status) {
+	for name, n := range map[string]float64{"settings": float64(st.Settings), "plan": float64(st.Plan)} {
+		k := incarnationOf(c.t, d) + name
+		if n < c.numbers[k] {
+			c.t.Fatalf("%s of %s went from %g to %g; seed %d: %v", name, d.name, c.numbers[k], n, *randomSeed, c.history)
 		}
+		c.numbers[k] = n
 	}
 }
 
