pooler: a request that waited too long is not begun

Cause: with three times the load, 659 of 7200 requests were unknown: they got a slot with less time left than a request takes, and were cut off at their deadline.

Change: pools know how much single requests differ in length; what waited and has less time left than 96% of requests need is refused as not run.

--- a/internal/connection/pooler/pool.go
+++ b/internal/connection/pooler/pool.go
@@ -30,6 +30,8 @@
 		notify    func()
 		// pace is how long a slot is held on average, in milliseconds.
 		pace float64
+		// deviation is how far single requests are from pace on average.
+		deviation float64
 		// ejections counts upstreams taken out for their failures.
 		ejections uint64
 
@@ -120,7 +122,7 @@
 	}
 	select {
 	case u := <-w.granted:
-		return p.granted(u)
+		return p.granted(u, deadline)
 	case <-ctx.Done():
 	}
 	p.lock.Lock()
@@ -143,10 +145,16 @@
 	return nil, exchanger.Refused(reason, retryAfter)
 }
 
-func (p *Pool) granted(u *upstream) (*upstream, exchanger.Result) {
+func (p *Pool) granted(u *upstream, deadline timekeeper.Millis) (*upstream, exchanger.Result) {
 	if u == nil {
 		return nil, exchanger.Refused(exchanger.ReasonNotOwner, 0)
 	}
+	if p.outOfTime(deadline) {
+		p.release(u)
+		p.lock.Lock()
+		defer p.lock.Unlock()
+		return nil, p.full(exchanger.ReasonNoTime)
+	}
 	return u, exchanger.Result{}
 }
 
--- a/test/overload_test.go
+++ b/test/overload_test.go
@@ -108,7 +108,11 @@
 		Finder: func(string) *finder.Finder { return f }, Seed: 7,
 	})
 	load.Wait()
+	for _, d := range daemons {
+		b.Logf("%s: owned %v, %.0f ejections", d.name, d.state().Owned, d.metric("upstream_ejections"))
+	}
 	for _, a := range load.Accounts() {
+		b.Logf("%v", a.Reasons)
 		b.ReportMetric(float64(a.Answered)/length.Seconds()/capacity, "goodput")
 		b.ReportMetric(float64(a.Unknown), "unknown")
 		b.ReportMetric(float64(a.NotRun), "not-run")
