forwarder, pooler, finder: the loss of a domain or region is covered at once

Cause: the plan goes by settings. When a failure domain was lost, the requests that the plan sent there were refused until an operator drained it; when a region was lost with its lead, nobody took its daemons off the roster and look-ups named only dead entries (TestDomainLost: callers of erie/a were never served again). Requests waited for upstreams in back-off until their deadline.

Change: a pool that reaches none of its upstreams refuses at once. The entry offers the request to other sites, those of the origin's region first, which take it only below their limit, so that no site is overloaded by that decision. An entry leaves a dark site alone and tries it with one request now and then. Look-ups for sites of other regions name the answering daemon last; the finder passes over addresses not reached lately. Owners are linked to as soon as a request could use them.

--- a/internal/connection/linker/call.go
+++ b/internal/connection/linker/call.go
@@ -26,11 +26,6 @@
 	started bool
 }
 
-// poolOf is the pool that a call needs a slot of.
-func poolOf(c *exchanger.Call) pooler.Key {
-	return pooler.Key{Site: c.Site, Service: c.Service}
-}
-
 // Run hands a call to the peer. With relay the peer may choose the owner.
 func (p *Peer) Run(ctx context.Context, c *exchanger.Call, relay bool) exchanger.Result {
 	s := p.session.Load()
@@ -42,7 +37,7 @@
 		return exchanger.Refused(exchanger.ReasonLinkDial, 0)
 	}
 	defer stream.Close()
-	p.take(poolOf(c))
+	p.take(pooler.KeyOf(c))
 	p.waiting.Add(1)
 	defer p.waiting.Add(-1)
 	p.manager.counters.Handed.Add(1)
@@ -118,7 +113,7 @@
 		o.call.Trailer(fromHeaders(m.Trailers))
 	}
 	if m.Slots > 0 {
-		o.peer.setFree(poolOf(o.call), int(m.Free), int(m.Slots))
+		o.peer.setFree(pooler.KeyOf(o.call), int(m.Free), int(m.Slots))
 	}
 	return exchanger.Result{
 		Outcome:    exchanger.Outcome(m.Outcome),
@@ -183,6 +178,7 @@
 		Key:          c.Key,
 		Held:         c.Held,
 		Look:         c.Look,
+		Detour:       c.Detour,
 	}
 	if c.Deadline > 0 {
 		m.RemainingMillis = int64(max(c.Deadline-now, 1))
--- a/internal/connection/linker/serve.go
+++ b/internal/connection/linker/serve.go
@@ -61,7 +61,7 @@
 		Trailers:         toHeaders(in.trailer),
 	}
 	if !q.Relay {
-		m.addFree(s, poolOf(c), end)
+		m.addFree(s, pooler.KeyOf(c), end)
 	}
 	_ = in.writer.Message(framer.KindEnd, end)
 }
@@ -94,6 +94,7 @@
 		Key:     q.Key,
 		Held:    q.Held,
 		Look:    q.Look,
+		Detour:  q.Detour,
 		Start:   in.start,
 		Write:   func(p []byte) error { return in.writer.Bytes(framer.KindChunk, p) },
 		Trailer: func(h http.Header) { in.trailer = h },
--- /dev/null
+++ b/internal/connection/pooler/dark_test.go
@@ -0,0 +1,70 @@
+package pooler_test
+
+import (
+	"context"
+	"io"
+	"net"
+	"net/http"
+	"net/http/httptest"
+	"testing"
+
+	"github.com/matryer/is"
+
+	"github.com/gullvale/gullvale/internal/request/exchanger"
+	"github.com/gullvale/gullvale/pkg/timekeeper"
+)
+
+// TestDetourStaysBelowLimit fills half of the slots with requests of another site:
+// the limit lets no more of them in, but those of this site.
+func TestDetourStaysBelowLimit(t *testing.T) {
+	is := is.New(t)
+	entered, leave := make(chan struct{}, 10), make(chan struct{})
+	s := httptest.NewServer(http.HandlerFunc(func(_ http.ResponseWriter, _ *http.Request) {
+		entered <- struct{}{}
+		<-leave
+	}))
+	defer s.Close()
+	set := settings(4, 10, s.Listener.Addr().String())
+	set.Limit = 0.5
+	o, _ := newOwner(set)
+	results := make(chan exchanger.Result, 10)
+	run := func(detour bool) {
+		c := call("x", nil, io.Discard)
+		c.Detour = detour
+		results <- o.Run(context.Background(), c)
+	}
+	for range 2 {
+		go run(true)
+		<-entered
+	}
+	run(true)
+	r := <-results
+	is.Equal(r.Outcome, exchanger.NotRun)
+	is.Equal(r.Reason, exchanger.ReasonAtLimit)
+	go run(false)
+	<-entered
+	close(leave)
+	for range 3 {
+		is.Equal((<-results).Outcome, exchanger.Answered)
+	}
+}
+
+// TestDarkPoolRefusesAtOnce has upstreams where nobody listens: once all have been
+// tried nobody waits for them, and callers are told when one is tried again.
+func TestDarkPoolRefusesAtOnce(t *testing.T) {
+	is := is.New(t)
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	is.NoErr(err)
+	address := l.Addr().String()
+	is.NoErr(l.Close())
+	o, c := newOwner(settings(4, 10, address))
+	r := o.Run(context.Background(), call("x", nil, io.Discard))
+	is.Equal(r.Reason, exchanger.ReasonUpstreamDial)
+	r = o.Run(context.Background(), call("x", nil, io.Discard))
+	is.Equal(r.Outcome, exchanger.NotRun)
+	is.Equal(r.Reason, exchanger.ReasonNoUpstream)
+	is.Equal(r.RetryAfter, 250*timekeeper.Millis(1))
+	c.now.Add(250)
+	r = o.Run(context.Background(), call("x", nil, io.Discard))
+	is.Equal(r.Reason, exchanger.ReasonUpstreamDial)
+}
--- a/internal/connection/pooler/owner.go
+++ b/internal/connection/pooler/owner.go
@@ -187,6 +187,11 @@
 	return p.Run(ctx, c, o.valid)
 }
 
+// KeyOf is the key of the pool that a call needs a slot of.
+func KeyOf(c *exchanger.Call) Key {
+	return Key{Site: c.Site, Service: c.Service}
+}
+
 // Free returns the free slots and slots of a pool.
 func (o *Owner) Free(k Key) (free, slots int) {
 	o.lock.RLock()
@@ -293,6 +298,7 @@
 	defer p.lock.Unlock()
 	if p.clock.Now() >= u.downUntil {
 		u.fail(p.clock.Now())
+		p.serve()
 	}
 }
 
--- a/internal/connection/pooler/pool.go
+++ b/internal/connection/pooler/pool.go
@@ -67,9 +67,14 @@
 }
 
 // acquire gets a slot, waiting in line for it if need be. The result tells why
-// there is none.
-func (p *Pool) acquire(ctx context.Context, deadline timekeeper.Millis) (*upstream, exchanger.Result) {
+// there is none. A detour comes from another site, and is let in only below the
+// limit of this one: no site is overloaded by the decision to send it there.
+func (p *Pool) acquire(ctx context.Context, deadline timekeeper.Millis, detour bool) (*upstream, exchanger.Result) {
 	p.lock.Lock()
+	if detour && p.overLimit() {
+		defer p.lock.Unlock()
+		return nil, p.full(exchanger.ReasonAtLimit)
+	}
 	if p.waiting.Len() == 0 {
 		if u := p.pick(); u != nil {
 			p.hold(u)
@@ -96,6 +101,9 @@
 	if !p.anyOwned() {
 		return exchanger.Refused(exchanger.ReasonNoUpstream, retryAfter), true
 	}
+	if r, dark := p.unreached(); dark {
+		return r, true
+	}
 	if p.waiting.Len() >= p.settings.QueueLength {
 		return p.full(exchanger.ReasonQueueFull), true
 	}
@@ -147,6 +155,11 @@
 
 func (p *Pool) granted(u *upstream, deadline timekeeper.Millis) (*upstream, exchanger.Result) {
 	if u == nil {
+		p.lock.Lock()
+		defer p.lock.Unlock()
+		if r, dark := p.unreached(); dark {
+			return nil, r
+		}
 		return nil, exchanger.Refused(exchanger.ReasonNotOwner, 0)
 	}
 	if p.outOfTime(deadline) {
@@ -211,7 +224,7 @@
 		p.hold(u)
 		p.waiting.Remove(p.waiting.Front()).(*waiter).granted <- u
 	}
-	if p.anyOwned() {
+	if _, dark := p.dark(p.clock.Now()); p.anyOwned() && !dark {
 		return
 	}
 	for p.waiting.Len() > 0 {
--- a/internal/connection/pooler/send.go
+++ b/internal/connection/pooler/send.go
@@ -50,7 +50,7 @@
 // Run runs a call on an upstream of the pool. valid is asked right before
 // sending whether this daemon may still send.
 func (p *Pool) Run(ctx context.Context, c *exchanger.Call, valid func() bool) exchanger.Result {
-	u, refused := p.acquire(ctx, c.Deadline)
+	u, refused := p.acquire(ctx, c.Deadline, c.Detour)
 	if u == nil {
 		return refused
 	}
--- a/internal/process/runner/assemble.go
+++ b/internal/process/runner/assemble.go
@@ -186,6 +186,7 @@
 		View:     registrar.NewView(rosters).Without(d.suspects.list()).Without(d.replaced(rosters)),
 		Table:    v.table,
 		Home:     d.self.Site,
+		Self:     d.Self(),
 		Wall:     d.clock.WallNow(),
 	}, numbers
 }
--- a/internal/request/exchanger/exchange.go
+++ b/internal/request/exchanger/exchange.go
@@ -25,6 +25,7 @@
 	ReasonQueueFull      Reason = "queue full"
 	ReasonDeadline       Reason = "deadline"
 	ReasonEntryFull      Reason = "too many requests at the entry"
+	ReasonAtLimit        Reason = "site at its limit"
 	ReasonNoTime         Reason = "no slot in time"
 	ReasonCancelled      Reason = "cancelled"
 	ReasonNoUpstream     Reason = "no upstream"
@@ -101,6 +102,9 @@
 		// FirstTry tells that the caller sends the key for the first time, so
 		// that a call which was handed to nobody did not run.
 		FirstTry bool
+		// Detour tells that the call's own site does not serve it; the one
+		// that it is sent to may refuse it to stay below its limit.
+		Detour bool
 		// Body is nil when there is none. It is read only after Admitted.
 		Body io.Reader
 		// Short holds the whole body when it is short, so that a refused try
--- a/internal/request/forwarder/forwarder.go
+++ b/internal/request/forwarder/forwarder.go
@@ -47,6 +47,7 @@
 		MostInFlight int64
 
 		budgets  budgets
+		detours  detours
 		sequence atomic.Uint64
 		inFlight atomic.Int64
 	}
--- a/internal/request/forwarder/route.go
+++ b/internal/request/forwarder/route.go
@@ -7,7 +7,6 @@
 	"github.com/gullvale/gullvale/internal/connection/linker"
 	"github.com/gullvale/gullvale/internal/connection/pooler"
 	"github.com/gullvale/gullvale/internal/request/exchanger"
-	"github.com/gullvale/gullvale/internal/version/resolver"
 	"github.com/gullvale/gullvale/internal/version/steerer"
 	"github.com/gullvale/gullvale/pkg/registrar"
 	"github.com/gullvale/gullvale/pkg/timekeeper"
@@ -29,12 +28,12 @@
 	slots int
 }
 
-// run finds a daemon for the call and runs it there, again if it may.
-func (f *Forwarder) run(ctx context.Context, c *exchanger.Call, s *resolver.Service) exchanger.Result {
+// runAtSite finds a daemon for the call at its site and runs it there, again if it
+// may.
+func (f *Forwarder) runAtSite(ctx context.Context, t *try) exchanger.Result {
+	c := t.call
 	b := f.budgets.of(c.Service)
-	b.earn(s.RetryBudget)
-	t := &try{call: c, idempotent: s.Idempotent(c.Method), tried: map[registrar.Incarnation]bool{}}
-	t.hook()
+	t.tried = map[registrar.Incarnation]bool{}
 	for n := 1; ; n++ {
 		r := f.once(ctx, t)
 		if n == maxTries || !t.again(r) || f.late(c) || ctx.Err() != nil {
@@ -76,7 +75,7 @@
 // again tells whether the call may run once more: nothing was passed on, its
 // body is still there, and it did not run or may run twice.
 func (t *try) again(r exchanger.Result) bool {
-	if t.started || (t.call.Body != nil && t.admitted) {
+	if !t.fresh() {
 		return false
 	}
 	switch r.Outcome {
@@ -88,6 +87,12 @@
 	return false
 }
 
+// fresh tells whether the call is as it came: nothing of it was passed on either
+// way.
+func (t *try) fresh() bool {
+	return !t.started && (t.call.Body == nil || !t.admitted)
+}
+
 // elsewhere tells whether another try may fare better.
 func elsewhere(r exchanger.Reason) bool {
 	switch r {
@@ -111,17 +116,25 @@
 		return exchanger.Refused(exchanger.ReasonNoEntry, timekeeper.Second)
 	}
 	if best.peer == nil {
-		t.tried[f.Self().Incarnation] = true
-		return f.Owner.Run(ctx, t.call)
+		r := f.Owner.Run(ctx, t.call)
+		t.note(f.Self().Incarnation, r)
+		return r
 	}
-	t.tried[best.peer.Member().Incarnation] = true
-	return best.peer.Run(ctx, t.call, best.relay)
+	r := best.peer.Run(ctx, t.call, best.relay)
+	t.note(best.peer.Member().Incarnation, r)
+	return r
+}
+
+// note remembers that a daemon was tried. One whose upstream was not reached may be
+// tried again: it has taken that upstream out of use.
+func (t *try) note(i registrar.Incarnation, r exchanger.Result) {
+	t.tried[i] = r.Reason != exchanger.ReasonUpstreamDial
 }
 
 // choose returns the daemon to run the call: this one while it has a slot free,
 // else the one known to have most, else one of the site that will choose.
 func (f *Forwarder) choose(ctx context.Context, s *steerer.Snapshot, t *try) (candidate, bool) {
-	k := pooler.Key{Site: t.call.Site, Service: t.call.Service}
+	k := pooler.KeyOf(t.call)
 	serving := s.View.Serving(k.Site)
 	var best candidate
 	found := false
@@ -149,8 +162,10 @@
 		free, slots := f.Owner.Free(k)
 		return candidate{free: free, slots: slots}, slots > 0
 	}
-	p := f.Links.Linked(m.Incarnation)
-	if p == nil || !p.Prompt() {
+	// A link that there is not yet is dialled, for the requests that follow: who
+	// is not linked to an owner would never use its slots.
+	p := f.Links.Peer(f.Base, m)
+	if !p.Prompt() {
 		return candidate{}, false
 	}
 	free, slots := p.Free(k)
--- a/internal/version/steerer/snapshot.go
+++ b/internal/version/steerer/snapshot.go
@@ -31,6 +31,9 @@
 		// Home is the site of this daemon. Callers outside all blocks count
 		// as its own.
 		Home registrar.Site
+		// Self is this daemon. It is named as the last entry for sites of other
+		// regions: they may all be lost, and whoever answers is alive.
+		Self registrar.Member
 		// Wall is when the snapshot is built. Without a plan it tells which
 		// drains have ended.
 		Wall timekeeper.Millis
@@ -190,6 +193,9 @@
 	}
 	a.Entries = append(a.Entries, spares...)
 	a.Entries = a.Entries[:min(len(a.Entries), set.Entries)]
+	if s.Self.Callers != "" && s.Self.Site.Region() != set.Site.Region() {
+		a.Entries = append(a.Entries, Entry{Address: s.Self.Callers, Incarnation: s.Self.Incarnation})
+	}
 	b, err := json.Marshal(a)
 	return b, eris.Wrap(err, "render look-up answer")
 }
--- a/pkg/finder/finder.go
+++ b/pkg/finder/finder.go
@@ -6,9 +6,7 @@
 	"crypto/rand"
 	"encoding/hex"
 	"encoding/json"
-	"errors"
 	"io"
-	"net"
 	"net/http"
 	"net/http/httptrace"
 	"net/url"
@@ -77,6 +75,7 @@
 
 		lock    sync.Mutex
 		answers map[key]*kept
+		avoided avoided
 		next    atomic.Uint64
 		lookups atomic.Uint64
 	}
@@ -200,7 +199,7 @@
 		addresses = append(addresses, f.Seeds[(start+i)%len(f.Seeds)])
 	}
 	err := ErrNoEntry
-	for _, a := range addresses {
+	for _, a := range f.avoided.order(addresses, f.Clock.Now()) {
 		var l Lookup
 		if l, err = f.askOne(ctx, a, k); err == nil {
 			return l, nil
@@ -225,6 +224,7 @@
 		return Lookup{}, err
 	}
 	p, err := f.client().Do(q)
+	f.avoided.note(address, err, f.Clock.Now())
 	if err != nil {
 		return Lookup{}, err
 	}
@@ -272,7 +272,7 @@
 		if len(l.Entries) == 0 {
 			break
 		}
-		e := l.Entries[(try-1)%len(l.Entries)]
+		e := f.entry(l.Entries, try)
 		if r.needsKey() && (key.value == "" || last.Outcome == NotRun && r.Header.Get(headerKey) == "") {
 			key = sentKey{value: newKey(e), first: true}
 		}
@@ -287,6 +287,19 @@
 	return last, nil
 }
 
+// entry chooses the entry for a try: the next one, passing over those that were not
+// reached lately unless none was.
+func (f *Finder) entry(all []Entry, try int) Entry {
+	now := f.Clock.Now()
+	for i := range all {
+		e := all[(try-1+i)%len(all)]
+		if !f.avoided.take(e.Address, now) {
+			return e
+		}
+	}
+	return all[(try-1)%len(all)]
+}
+
 // again tells whether a request may be sent once more now. An entry that names
 // a time to come back is obeyed by whoever called, not here.
 func (f *Finder) again(r Request, p Response, end timekeeper.Millis) bool {
@@ -347,6 +360,7 @@
 		q.Header.Set(headerFirstTry, "1")
 	}
 	p, err := f.client().Do(q)
+	f.avoided.note(e.Address, err, f.Clock.Now())
 	if err != nil {
 		return lost(err, sent.Load())
 	}
@@ -363,8 +377,7 @@
 // lost is the outcome of a request without an answer. A request whose head was
 // never written did not run.
 func lost(err error, sent bool) Response {
-	var op *net.OpError
-	if !sent || (errors.As(err, &op) && op.Op == "dial") {
+	if !sent || isDial(err) {
 		return Response{Outcome: NotRun, Reason: err.Error()}
 	}
 	return Response{Outcome: Unknown, Reason: err.Error()}
