--- a/internal/process/commander/steer.go
+++ b/internal/process/commander/steer.go
@@ -115,6 +115,12 @@
 				if err := cl.get(ctx, operator.PathStatus, &s); err != nil {
 					return err
 				}
+				if !watch {
+					var o operator.Outlook
+					if cl.get(ctx, operator.PathOutlook, &o) == nil {
+						s.Outlook = &o
+					}
+				}
 				if err := a.show(s, func() { a.printStatus(s) }); err != nil || !watch {
 					return err
 				}
@@ -162,6 +168,34 @@
 	for _, h := range s.Holds {
 		a.printf("waits: %s from %s: %s\n", h.Service, h.Origin, h.Reason)
 	}
+	if s.Outlook != nil {
+		a.printOutlook(*s.Outlook)
+	}
+}
+
+// printOutlook prints what is free, and the losses that the rest cannot carry.
+func (a *app) printOutlook(o operator.Outlook) {
+	for _, h := range o.Headroom {
+		a.printf("headroom %s %s: %.0f%%", h.Region, h.Service, 100*h.Now)
+		if h.Without != "" {
+			a.printf(", %.0f%% without %s", 100*h.After, h.Without)
+		}
+		a.printf("\n")
+	}
+	covered := true
+	for _, l := range o.Losses {
+		for _, n := range l.Unserved {
+			a.printf("NOT COVERED: loss of %s leaves no site for %s\n", l.Lost, n)
+		}
+		for _, u := range l.Over {
+			a.printf("NOT COVERED: loss of %s: %s at %s would need %.0f of the %.0f slots it may fill\n",
+				l.Lost, u.Service, u.Site, u.Slots, u.Limit)
+		}
+		covered = covered && l.Covered()
+	}
+	if covered && len(o.Losses) > 0 {
+		a.printf("any one domain or region may be lost: the rest can carry it\n")
+	}
 }
 
 func percent(part, whole float64) float64 {
--- a/internal/process/operator/api.go
+++ b/internal/process/operator/api.go
@@ -19,6 +19,7 @@
 	PathInForce  = "/Settings/InForce"
 	PathBlocks   = "/Blocks"
 	PathStatus   = "/Status"
+	PathOutlook  = "/Outlook"
 	PathLookup   = "/Lookup"
 	PathMetrics  = "/metrics"
 	PathHealth   = "/health"
@@ -141,6 +142,16 @@
 		// Valid tells whether this daemon may send to its upstreams.
 		Valid   bool
 		Control ControlStatus
+		// Outlook is filled in by the command line, which asks for it apart: it
+		// costs much more than the rest.
+		Outlook *Outlook `json:",omitempty"`
+	}
+
+	// Outlook is what is free in each region, and what the loss of each place
+	// would do, going by the load now.
+	Outlook struct {
+		Headroom []planner.Headroom
+		Losses   []planner.Loss
 	}
 
 	// OwnedStatus is the pool of one service at one site in this daemon.
--- a/internal/process/operator/server.go
+++ b/internal/process/operator/server.go
@@ -43,6 +43,8 @@
 		Changer *changer.Changer
 		// Status describes the fleet.
 		Status func(context.Context) Status
+		// Outlook works out headroom and losses.
+		Outlook func(context.Context) (Outlook, error)
 		// InForce tells on how many daemons a number is in force.
 		InForce func(context.Context, recorder.Number) (InForceAnswer, error)
 		// Healthy tells whether the daemon takes new work, and if not, why.
@@ -79,6 +81,7 @@
 			s.route(http.MethodGet, PathLog, view, s.log),
 			s.route(http.MethodGet, PathInForce, view, s.inForce),
 			s.route(http.MethodGet, PathStatus, view, s.status),
+			s.route(http.MethodGet, PathOutlook, view, s.outlook),
 			s.route(http.MethodPost, PathChange, steer, s.change),
 			s.route(http.MethodPost, PathBlocks, configurer.RoleAdminister, s.blocks),
 			{Method: http.MethodGet, Path: PathLookup, Handler: s.Lookup.ServeHTTP},
@@ -178,6 +181,10 @@
 	return s.Status(ctx), nil
 }
 
+func (s *Server) outlook(ctx context.Context, _ who, _ *http.Request) (any, error) {
+	return s.Outlook(ctx)
+}
+
 func (s *Server) change(ctx context.Context, o who, r *http.Request) (any, error) {
 	var q ChangeRequest
 	if err := json.NewDecoder(r.Body).Decode(&q); err != nil {
--- a/internal/process/runner/daemon.go
+++ b/internal/process/runner/daemon.go
@@ -361,6 +361,7 @@
 		Applier: d.applier,
 		Changer: d.changer,
 		Status:  d.Status,
+		Outlook: d.outlook,
 		InForce: d.inForce,
 		Healthy: d.healthy,
 		Metrics: d.meter.Handler(),
--- a/internal/process/runner/status.go
+++ b/internal/process/runner/status.go
@@ -12,6 +12,7 @@
 	"github.com/gullvale/gullvale/internal/version/resolver"
 	"github.com/gullvale/gullvale/internal/version/steerer"
 	"github.com/gullvale/gullvale/pkg/recorder"
+	"github.com/gullvale/gullvale/pkg/storer"
 )
 
 const mostSummaries = 100
@@ -165,19 +166,39 @@
 	}
 }
 
+// outlook works out headroom and losses by the load that the leads told.
+func (d *Daemon) outlook(ctx context.Context) (operator.Outlook, error) {
+	s := d.snapshot.Load()
+	if s == nil {
+		return operator.Outlook{}, storer.ErrNotFound
+	}
+	load, err := d.load(ctx)
+	if err != nil {
+		return operator.Outlook{}, err
+	}
+	losses, rooms := planner.Losses(s.Settings, load, d.clock.WallNow())
+	return operator.Outlook{Headroom: rooms, Losses: losses}, nil
+}
+
+// load adds up what the leads told.
+func (d *Daemon) load(ctx context.Context) (planner.Load, error) {
+	var load planner.Load
+	all, err := d.summaries(ctx)
+	for _, s := range all {
+		s.AddWork(&load)
+	}
+	return load, err
+}
+
 // guard finds what a tree would overload, by the load that the leads told. In
 // an outage of the platform no change can be recorded anyway.
 func (d *Daemon) guard(t resolver.Tree) ([]planner.Use, parser.Problems) {
 	ctx, cancel := context.WithTimeout(d.base, peerTimeout)
 	defer cancel()
-	all, err := d.summaries(ctx)
+	load, err := d.load(ctx)
 	if err != nil {
 		return nil, parser.Problems{{Text: fmt.Sprintf("the load is not known: %v", err)}}
 	}
-	var load planner.Load
-	for _, s := range all {
-		s.AddWork(&load)
-	}
 	next := t.Resolve()
 	wall := d.clock.WallNow()
 	return planner.Predict(next, load, wall), planner.Check(next, load, wall)
--- a/test/cli_test.go
+++ b/test/cli_test.go
@@ -78,6 +78,8 @@
 		{both, "drain erie/a --for 2h", 0, "DrainUntil = "},
 		{both, "status", 0, "drained: erie/a"},
 		{both, "undrain erie/a", 0, "change 7 accepted"},
+		{both, "status", 0, "headroom erie keg-ledger: 100%"},
+		{both, "st", 0, "any one domain or region may be lost"},
 		{both, "blocks load one " + blocks, 0, "stored 2 blocks"},
 		{both, "blocks load one " + blocks, 2, "another revision"},
 		{both, "s set / BlockTable=one", 0, "change 8 accepted"},
