encrypter, configurer: TLS on links, keys replaced without a restart

Cause: whoever reached a daemon's port for links could open one and be taken for a daemon.

Change: [LinkTLS] names a certificate, a key and the authorities to trust, all or none, checked with the other settings. Both ends must show a certificate that an authority signed; files are read again when they change, and files that cannot be used leave the former keys in place.

Tests: an end of another authority, one that does not trust ours, an expired one, one without certificate, one without TLS: refused.

--- /dev/null
+++ b/internal/connection/encrypter/encrypt_test.go
@@ -0,0 +1,133 @@
+package encrypter_test
+
+import (
+	"context"
+	"crypto/tls"
+	"io"
+	"net"
+	"os"
+	"path/filepath"
+	"testing"
+	"time"
+
+	"github.com/matryer/is"
+
+	"github.com/gullvale/gullvale/internal/connection/encrypter"
+	"github.com/gullvale/gullvale/internal/standin/signer"
+)
+
+// greeting is long enough for an end that expects TLS to see that it is none.
+const greeting = "a greeting of more bytes than the head of a record"
+
+func load(t *testing.T, f encrypter.Files) *encrypter.Encrypter {
+	t.Helper()
+	e := &encrypter.Encrypter{Files: f}
+	if err := e.Load(); err != nil {
+		t.Fatal(err)
+	}
+	return e
+}
+
+// greet sends a word from a to b and back, and returns what went wrong.
+func greet(t *testing.T, b *encrypter.Encrypter, dial func(context.Context, string) (net.Conn, error)) error {
+	t.Helper()
+	inner, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	l := b.Listener(inner)
+	defer l.Close()
+	go func() {
+		c, err := l.Accept()
+		if err == nil {
+			_, _ = io.CopyN(c, c, int64(len(greeting)))
+			c.Close()
+		}
+	}()
+	c, err := dial(context.Background(), inner.Addr().String())
+	if err != nil {
+		return err
+	}
+	defer c.Close()
+	if _, err := io.WriteString(c, greeting); err != nil {
+		return err
+	}
+	_, err = io.ReadFull(c, make([]byte, len(greeting)))
+	return err
+}
+
+func TestOnlySignedEndsTalk(t *testing.T) {
+	ours, theirs := signer.New(), signer.New()
+	later := time.Now().Add(time.Hour)
+	b := load(t, ours.Files(t.TempDir(), later, ours))
+	plain := func(ctx context.Context, address string) (net.Conn, error) {
+		var d net.Dialer
+		return d.DialContext(ctx, "tcp", address)
+	}
+	bare := func(ctx context.Context, address string) (net.Conn, error) {
+		d := tls.Dialer{Config: &tls.Config{InsecureSkipVerify: true}}
+		return d.DialContext(ctx, "tcp", address)
+	}
+	for _, c := range []struct {
+		name string
+		dial func(context.Context, string) (net.Conn, error)
+		ok   bool
+	}{
+		{"same authority", load(t, ours.Files(t.TempDir(), later, ours)).Dial, true},
+		{"other authority", load(t, theirs.Files(t.TempDir(), later, theirs, ours)).Dial, false},
+		{"does not trust us", load(t, ours.Files(t.TempDir(), later, theirs)).Dial, false},
+		{"expired", load(t, ours.Files(t.TempDir(), time.Now().Add(-time.Minute), ours)).Dial, false},
+		{"no certificate", bare, false},
+		{"no TLS", plain, false},
+	} {
+		t.Run(c.name, func(t *testing.T) {
+			is := is.New(t)
+			is.Equal(greet(t, b, c.dial) == nil, c.ok)
+		})
+	}
+}
+
+// TestKeysAreReplacedWithoutRestart moves a daemon from one authority to another,
+// through a while in which both are trusted, and past files that cannot be used.
+func TestKeysAreReplacedWithoutRestart(t *testing.T) {
+	is := is.New(t)
+	ctx, cancel := context.WithCancel(context.Background())
+	defer cancel()
+	ours, next := signer.New(), signer.New()
+	later := time.Now().Add(time.Hour)
+	dir := t.TempDir()
+	reloads := make(chan error, 10)
+	b := load(t, ours.Files(dir, later, ours))
+	b.Reloaded = func(err error) { reloads <- err }
+	go b.Run(ctx)
+	moved := load(t, next.Files(t.TempDir(), later, next, ours))
+	is.True(greet(t, b, moved.Dial) != nil)
+	await := func(well bool) {
+		// Files are written one by one, so a look may see half of them.
+		for err := range reloads {
+			if (err == nil) == well {
+				return
+			}
+		}
+	}
+	ours.Files(dir, later, ours, next)
+	await(true)
+	is.NoErr(greet(t, b, moved.Dial))
+	is.NoErr(os.WriteFile(filepath.Join(dir, "link.pem"), []byte("no certificate"), 0o600))
+	await(false)
+	is.NoErr(greet(t, b, moved.Dial))
+}
+
+func TestLoadNamesTheSetting(t *testing.T) {
+	is := is.New(t)
+	a := signer.New()
+	f := a.Files(t.TempDir(), time.Now().Add(time.Hour), a)
+	is.NoErr(os.WriteFile(f.Authority, nil, 0o600))
+	e := encrypter.Encrypter{Files: f}
+	err := e.Load()
+	is.True(err != nil)
+	is.True(len(err.Error()) > 0 && err.Error()[:17] == "LinkTLS.Authority")
+	e.Files.Key = "nowhere"
+	err = e.Load()
+	is.True(err != nil && err.Error()[:19] == "LinkTLS.Certificate")
+}
--- a/internal/process/configurer/config.go
+++ b/internal/process/configurer/config.go
@@ -13,6 +13,7 @@
 
 	"github.com/sirupsen/logrus"
 
+	"github.com/gullvale/gullvale/internal/connection/encrypter"
 	"github.com/gullvale/gullvale/internal/version/parser"
 	"github.com/gullvale/gullvale/pkg/registrar"
 	"github.com/gullvale/gullvale/pkg/timekeeper"
@@ -53,6 +54,9 @@
 		{"Platform.Token", parser.KindText, false, func(c *Config, e parser.Entry) error { c.PlatformToken = e.Text; return nil }},
 		{"LogLevel", parser.KindText, false, func(c *Config, e parser.Entry) error { return level(c, e.Text) }},
 		{"StopMillis", parser.KindNumber, false, func(c *Config, e parser.Entry) error { return millis(&c.StopMillis, e.Text) }},
+		{"LinkTLS.Certificate", parser.KindText, false, func(c *Config, e parser.Entry) error { c.LinkTLS.Certificate = e.Text; return nil }},
+		{"LinkTLS.Key", parser.KindText, false, func(c *Config, e parser.Entry) error { c.LinkTLS.Key = e.Text; return nil }},
+		{"LinkTLS.Authority", parser.KindText, false, func(c *Config, e parser.Entry) error { c.LinkTLS.Authority = e.Text; return nil }},
 		{"MostInFlight", parser.KindNumber, false, func(c *Config, e parser.Entry) error { return count(&c.MostInFlight, e.Text) }},
 	}
 )
@@ -90,7 +94,9 @@
 		// MostInFlight is how many requests may be here at once; 0 leaves it
 		// to the forwarder.
 		MostInFlight int64
-		Tokens       []Token
+		// LinkTLS is empty when links are not encrypted.
+		LinkTLS encrypter.Files
+		Tokens  []Token
 	}
 
 	field struct {
@@ -134,12 +140,37 @@
 			problems = append(problems, parser.Problem{Position: parser.Position{File: file}, Path: f.name, Text: "is missing"})
 		}
 	}
+	if p, ok := c.linkTLS(file, seen); !ok {
+		problems = append(problems, p...)
+	}
 	if t := os.Getenv(EnvPlatformToken); t != "" {
 		c.PlatformToken = t
 	}
 	return c, problems
 }
 
+// linkTLS checks that the files of links are named all or none, and can be used.
+func (c *Config) linkTLS(file string, seen map[string]bool) (parser.Problems, bool) {
+	var missing parser.Problems
+	names := []string{"LinkTLS.Certificate", "LinkTLS.Key", "LinkTLS.Authority"}
+	for _, n := range names {
+		if !seen[n] {
+			missing = append(missing, parser.Problem{Position: parser.Position{File: file}, Path: n, Text: "is missing beside the other files of LinkTLS"})
+		}
+	}
+	switch len(missing) {
+	case len(names):
+		return nil, true
+	case 0:
+		e := encrypter.Encrypter{Files: c.LinkTLS}
+		if err := e.Load(); err != nil {
+			return parser.Problems{{Position: parser.Position{File: file}, Path: "LinkTLS", Text: err.Error()}}, false
+		}
+		return nil, true
+	}
+	return missing, false
+}
+
 func (c *Config) entry(e parser.Entry) error {
 	if len(e.Path) == tokenParts && e.Path[0] == "Tokens" {
 		return c.token(e)
--- a/internal/process/runner/daemon.go
+++ b/internal/process/runner/daemon.go
@@ -15,6 +15,7 @@
 	"github.com/zeromicro/go-zero/core/proc"
 	"github.com/zeromicro/go-zero/rest"
 
+	"github.com/gullvale/gullvale/internal/connection/encrypter"
 	"github.com/gullvale/gullvale/internal/connection/guarder"
 	"github.com/gullvale/gullvale/internal/connection/linker"
 	"github.com/gullvale/gullvale/internal/connection/pooler"
@@ -80,8 +81,10 @@
 		base   context.Context
 		cancel context.CancelFunc
 
-		callers   net.Listener
-		linked    net.Listener
+		callers net.Listener
+		linked  net.Listener
+		// encrypter is nil when links are not encrypted.
+		encrypter *encrypter.Encrypter
 		operators net.Listener
 		servers   []*http.Server
 
@@ -133,6 +136,11 @@
 		d.cancel()
 		return nil, err
 	}
+	if err := d.encrypt(); err != nil {
+		d.closeListeners()
+		d.cancel()
+		return nil, err
+	}
 	d.self = registrar.Member{
 		Incarnation: newIncarnation(),
 		Name:        o.Config.Name,
@@ -176,6 +184,28 @@
 	return nil
 }
 
+// encrypt puts links under TLS when the settings name its files.
+func (d *Daemon) encrypt() error {
+	if d.config.LinkTLS == (encrypter.Files{}) {
+		return nil
+	}
+	d.encrypter = &encrypter.Encrypter{Files: d.config.LinkTLS, Reloaded: d.keysReloaded}
+	if err := d.encrypter.Load(); err != nil {
+		return err
+	}
+	d.linked = d.encrypter.Listener(d.linked)
+	d.options.Dial = d.encrypter.Dial
+	return nil
+}
+
+func (d *Daemon) keysReloaded(err error) {
+	if err != nil {
+		d.log.WithError(err).Warn("keys of links not reloaded, the former stay in use")
+		return
+	}
+	d.log.Info("keys of links reloaded")
+}
+
 func (d *Daemon) closeListeners() {
 	for _, l := range []net.Listener{d.callers, d.linked, d.operators} {
 		if l != nil {
@@ -278,6 +308,9 @@
 		"operators":   d.self.Operators,
 	}).Info("started")
 	d.leader.Start()
+	if d.encrypter != nil {
+		go d.encrypter.Run(d.base)
+	}
 	go d.links.Accept(d.base, d.linked)
 	go d.run()
 	return nil
--- a/internal/process/runner/gauges.go
+++ b/internal/process/runner/gauges.go
@@ -44,6 +44,10 @@
 	} {
 		d.meter.Gauge(name, measurer.Labels{}, v)
 	}
+	if d.encrypter != nil {
+		left := d.encrypter.Left(d.clock.WallNow())
+		d.meter.Gauge("link_certificate_seconds_left", measurer.Labels{}, left.Duration().Seconds())
+	}
 	d.poolGauges(s)
 }
 
--- /dev/null
+++ b/internal/standin/signer/authority.go
@@ -0,0 +1,98 @@
+// Package signer stands in for the authority of a deployment: it signs certificates
+// for daemons and writes the files that their settings name. It is for tests and
+// stops the process when the system gives it no randomness or no files.
+package signer
+
+import (
+	"crypto/ecdsa"
+	"crypto/elliptic"
+	"crypto/rand"
+	"crypto/x509"
+	"crypto/x509/pkix"
+	"encoding/pem"
+	"math/big"
+	"os"
+	"path/filepath"
+	"time"
+
+	"github.com/gullvale/gullvale/internal/connection/encrypter"
+)
+
+const (
+	fileMode  = 0o600
+	mostBits  = 62
+	validFrom = -time.Hour
+)
+
+// Authority signs certificates.
+type Authority struct {
+	cert *x509.Certificate
+	key  *ecdsa.PrivateKey
+}
+
+// New makes an authority that is valid for an hour.
+func New() *Authority {
+	a := &Authority{key: newKey()}
+	a.cert = a.sign(nil, &a.key.PublicKey, time.Now().Add(time.Hour))
+	return a
+}
+
+// Files writes what a daemon needs into dir: a certificate signed by a, its key, and
+// the authorities to trust.
+func (a *Authority) Files(dir string, until time.Time, trust ...*Authority) encrypter.Files {
+	key := newKey()
+	der := must(x509.MarshalPKCS8PrivateKey(key))
+	f := encrypter.Files{
+		Certificate: filepath.Join(dir, "link.pem"),
+		Key:         filepath.Join(dir, "link.key"),
+		Authority:   filepath.Join(dir, "authority.pem"),
+	}
+	var pool []byte
+	for _, x := range trust {
+		pool = append(pool, block("CERTIFICATE", x.cert.Raw)...)
+	}
+	write(f.Certificate, block("CERTIFICATE", a.sign(a.cert, &key.PublicKey, until).Raw))
+	write(f.Key, block("PRIVATE KEY", der))
+	write(f.Authority, pool)
+	return f
+}
+
+// sign signs for a key, by the authority itself when parent is nil.
+func (a *Authority) sign(parent *x509.Certificate, key *ecdsa.PublicKey, until time.Time) *x509.Certificate {
+	c := &x509.Certificate{
+		SerialNumber: must(rand.Int(rand.Reader, new(big.Int).Lsh(big.NewInt(1), mostBits))),
+		Subject:      pkix.Name{CommonName: "gullvale"},
+		NotBefore:    time.Now().Add(validFrom),
+		NotAfter:     until,
+		IsCA:         parent == nil,
+		KeyUsage:     x509.KeyUsageDigitalSignature | x509.KeyUsageCertSign,
+
+		BasicConstraintsValid: true,
+	}
+	if parent == nil {
+		parent = c
+	}
+	der := must(x509.CreateCertificate(rand.Reader, c, parent, key, a.key))
+	return must(x509.ParseCertificate(der))
+}
+
+func newKey() *ecdsa.PrivateKey {
+	return must(ecdsa.GenerateKey(elliptic.P256(), rand.Reader))
+}
+
+func block(kind string, der []byte) []byte {
+	return pem.EncodeToMemory(&pem.Block{Type: kind, Bytes: der})
+}
+
+func write(name string, text []byte) {
+	if err := os.WriteFile(name, text, fileMode); err != nil {
+		panic("signer: " + err.Error())
+	}
+}
+
+func must[T any](v T, err error) T {
+	if err != nil {
+		panic("signer: " + err.Error())
+	}
+	return v
+}
--- a/test/loss_test.go
+++ b/test/loss_test.go
@@ -128,7 +128,7 @@
 func TestDomainLost(t *testing.T) {
 	is := is.New(t)
 	all := startPlaces(t, 6, "erie/a", "erie/b", "michigan/a", "superior/a")
-	stop := callers(t, 30, all)
+	stop := callers(t, 60, all)
 	flows(t, all)
 	is.Equal(refusals(all), uint64(0))
 	all[0].lose()
