pacer, linker: exports leave room on links between regions

Cause: exports towards another region fill the link, and short requests wait behind them.

Change: ExportBytesPerSecond is what a region's exports may send to each other region; its daemons share it evenly and hold back what leaves the region.

--- a/internal/connection/linker/link_test.go
+++ b/internal/connection/linker/link_test.go
@@ -120,3 +120,34 @@
 	}
 	is.True(p.Prompt())
 }
+
+// TestAnswersArePaced has every piece of an answer wait for its turn.
+func TestAnswersArePaced(t *testing.T) {
+	is := is.New(t)
+	var s standing
+	_, to, p := linked(t, s.clock())
+	var paced atomic.Int64
+	to.Pace = func(_ context.Context, m registrar.Member, c *exchanger.Call, n int) error {
+		is.Equal(m.Incarnation, registrar.Incarnation("a"))
+		is.Equal(pooler.KeyOf(c), pool)
+		paced.Add(int64(n))
+		return nil
+	}
+	to.Serve = func(_ context.Context, c *exchanger.Call, _ bool) exchanger.Result {
+		is.NoErr(c.Start(exchanger.Answer{Status: 200, Length: 30}))
+		for range 3 {
+			is.NoErr(c.Write(make([]byte, 10)))
+		}
+		return exchanger.Result{Outcome: exchanger.Answered, Whole: true}
+	}
+	c := call()
+	got := 0
+	c.Write = func(b []byte) error {
+		got += len(b)
+		return nil
+	}
+	r := p.Run(context.Background(), c, false)
+	is.True(r.Whole)
+	is.Equal(got, 30)
+	is.Equal(paced.Load(), int64(30))
+}
--- a/internal/connection/linker/manager.go
+++ b/internal/connection/linker/manager.go
@@ -38,6 +38,9 @@
 		// Closed is told of sessions that ended.
 		Closed func(s *Session)
 
+		// Pace waits until a piece of an answer may go to another daemon. Nil
+		// means that it always may.
+		Pace func(ctx context.Context, to registrar.Member, c *exchanger.Call, bytes int) error
 		// FreeOf returns the free slots and slots of a pool owned here. They
 		// ride on answers.
 		FreeOf func(pooler.Key) (free, slots int)
--- a/internal/connection/linker/serve.go
+++ b/internal/connection/linker/serve.go
@@ -50,6 +50,15 @@
 		s.direct.Store(int64(m.Clock.Now()))
 	}
 	c := in.call(&q, m.Clock.Now())
+	if m.Pace != nil {
+		write := c.Write
+		c.Write = func(p []byte) error {
+			if err := m.Pace(ctx, s.remote, c, len(p)); err != nil {
+				return err
+			}
+			return write(p)
+		}
+	}
 	go in.runRead()
 	r := m.Serve(ctx, c, q.Relay)
 	end := &framer.End{
--- /dev/null
+++ b/internal/connection/pacer/pace_test.go
@@ -0,0 +1,64 @@
+package pacer_test
+
+import (
+	"context"
+	"errors"
+	"testing"
+	"time"
+
+	"github.com/matryer/is"
+
+	"github.com/gullvale/gullvale/internal/connection/pacer"
+	"github.com/gullvale/gullvale/pkg/timekeeper"
+)
+
+// newPacer has a clock that only sleeping moves.
+func newPacer() (*pacer.Pacer, *time.Duration) {
+	slept := new(time.Duration)
+	return &pacer.Pacer{
+		Clock: timekeeper.Clock{Monotonic: func() timekeeper.Millis { return 1000 + timekeeper.FromDuration(*slept) }},
+		Sleep: func(ctx context.Context, d time.Duration) error {
+			*slept += d
+			return ctx.Err()
+		},
+	}, slept
+}
+
+func TestPace(t *testing.T) {
+	for _, c := range []struct {
+		name  string
+		rate  int64
+		bytes int
+		least time.Duration
+		most  time.Duration
+	}{
+		{"first burst is free", 1 << 20, 64 << 10, 0, 0},
+		{"a second's worth", 1 << 20, 1 << 20, 900 * time.Millisecond, time.Second},
+		{"more than a burst at once", 1 << 20, 2 << 20, 1900 * time.Millisecond, 2 * time.Second},
+		{"no rate stalls", 1, 128 << 10, 1900 * time.Millisecond, 2100 * time.Millisecond},
+	} {
+		t.Run(c.name, func(t *testing.T) {
+			is := is.New(t)
+			p, slept := newPacer()
+			is.NoErr(p.Wait(context.Background(), "erie", c.rate, c.bytes))
+			is.True(*slept >= c.least && *slept <= c.most)
+		})
+	}
+}
+
+func TestPlacesDoNotShare(t *testing.T) {
+	is := is.New(t)
+	p, slept := newPacer()
+	is.NoErr(p.Wait(context.Background(), "erie", 1<<20, 1<<20))
+	before := *slept
+	is.NoErr(p.Wait(context.Background(), "michigan", 1<<20, 64<<10))
+	is.Equal(*slept, before)
+}
+
+func TestWaitEndsWithItsCaller(t *testing.T) {
+	is := is.New(t)
+	p, _ := newPacer()
+	ctx, cancel := context.WithCancel(context.Background())
+	cancel()
+	is.True(errors.Is(p.Wait(ctx, "erie", 1, 1<<20), context.Canceled))
+}
--- a/internal/process/runner/daemon.go
+++ b/internal/process/runner/daemon.go
@@ -18,6 +18,7 @@
 	"github.com/gullvale/gullvale/internal/connection/encrypter"
 	"github.com/gullvale/gullvale/internal/connection/guarder"
 	"github.com/gullvale/gullvale/internal/connection/linker"
+	"github.com/gullvale/gullvale/internal/connection/pacer"
 	"github.com/gullvale/gullvale/internal/connection/pooler"
 	"github.com/gullvale/gullvale/internal/connection/router"
 	"github.com/gullvale/gullvale/internal/process/changer"
@@ -85,6 +86,7 @@
 		linked  net.Listener
 		// encrypter is nil when links are not encrypted.
 		encrypter *encrypter.Encrypter
+		pacer     pacer.Pacer
 		operators net.Listener
 		servers   []*http.Server
 
@@ -274,6 +276,7 @@
 	}
 	d.links.Serve = d.forwarder.RunLinked
 	d.links.FreeOf = d.owner.Free
+	d.links.Pace = d.pace
 	d.looker = &looker.Looker{Snapshot: d.snapshot.Load, Meter: d.meter}
 	d.changer = &changer.Changer{
 		Clock:    d.clock,
--- a/internal/version/resolver/key.go
+++ b/internal/version/resolver/key.go
@@ -20,6 +20,7 @@
 	KeyLimit             Key = "Limit"
 	KeyDeadline          Key = "DeadlineMillis"
 	KeyMaxBody           Key = "MaxBodyBytes"
+	KeyExportRate        Key = "ExportBytesPerSecond"
 	KeyQueueLength       Key = "QueueLength"
 	KeyLookupLifetime    Key = "LookupLifetimeMillis"
 	KeyEntries           Key = "Entries"
@@ -88,6 +89,7 @@
 	{Key: KeyLimit, form: asPercent, levels: anywhere, Default: "85%", max: 100, Help: "part of the slots that the plan may fill"},
 	{Key: KeyDeadline, form: asCount, levels: anywhere, Default: "10000", max: 24 * 3600 * 1000, Help: "longest time for a request whose caller names none; 0 is no limit"},
 	{Key: KeyMaxBody, form: asCount, levels: anywhere, Default: "16777216", max: 1 << 40, Help: "largest body of a request in bytes"},
+	{Key: KeyExportRate, form: asCount, levels: anywhere, Default: "0", max: 1 << 40, Help: "bytes a second that exports of a region may send to another; 0 is no limit"},
 	{Key: KeyQueueLength, form: asCount, levels: anywhere, Default: "64", max: 100000, Help: "requests that wait at one owner; more are refused"},
 	{Key: KeyLookupLifetime, form: asCount, levels: anywhere, Default: "2000", min: 100, max: 3600 * 1000, Help: "how long callers keep the answer to a look-up"},
 	{Key: KeyEntries, form: asCount, levels: anywhere, Default: "3", min: 1, max: 16, Help: "entries named in the answer to a look-up"},
--- a/internal/version/resolver/resolved.go
+++ b/internal/version/resolver/resolved.go
@@ -12,14 +12,17 @@
 	// Service is the effective settings of one service at one site. Sites
 	// without upstreams have them too, since callers reach entries there.
 	Service struct {
-		Name              ServiceName
-		Site              registrar.Site
-		Upstreams         []string
-		Slots             int
-		Class             Class
-		Limit             float64
-		Deadline          timekeeper.Millis
-		MaxBody           int64
+		Name      ServiceName
+		Site      registrar.Site
+		Upstreams []string
+		Slots     int
+		Class     Class
+		Limit     float64
+		Deadline  timekeeper.Millis
+		MaxBody   int64
+		// ExportRate is how many bytes a second exports of the region may send
+		// to another, 0 for no limit.
+		ExportRate        int64
 		QueueLength       int
 		LookupLifetime    timekeeper.Millis
 		Entries           int
@@ -141,6 +144,7 @@
 		Limit:             get(KeyLimit).fraction(),
 		Deadline:          timekeeper.Millis(get(KeyDeadline).int()),
 		MaxBody:           get(KeyMaxBody).int(),
+		ExportRate:        get(KeyExportRate).int(),
 		QueueLength:       int(get(KeyQueueLength).int()),
 		LookupLifetime:    timekeeper.Millis(get(KeyLookupLifetime).int()),
 		Entries:           int(get(KeyEntries).int()),
--- a/test/faults_test.go
+++ b/test/faults_test.go
@@ -33,7 +33,7 @@
 type (
 	// proxy stands in front of one listener.
 	proxy struct {
-		t *testing.T
+		t testing.TB
 		*toxiproxy.Proxy
 	}
 
@@ -46,7 +46,7 @@
 	}
 )
 
-func newProxy(t *testing.T, upstream string) *proxy {
+func newProxy(t testing.TB, upstream string) *proxy {
 	t.Helper()
 	server := toxiproxy.NewServer(toxiproxy.NewMetricsContainer(nil), zerolog.Nop())
 	p := &proxy{t, toxiproxy.NewProxy(server, t.Name(), "127.0.0.1:0", upstream)}
@@ -69,7 +69,7 @@
 }
 
 // startBehind starts a daemon whose links go through a proxy.
-func startBehind(t *testing.T, o daemonOptions) (*daemon, *proxy) {
+func startBehind(t testing.TB, o daemonOptions) (*daemon, *proxy) {
 	t.Helper()
 	p := newProxy(t, "127.0.0.1:1")
 	o.advertise = p.Listen
