leaser, operator: a fence of its own for each holder; a page for phones

A follower that hears of the holder's writes (Observe) knew the newest revision without what was written there; when the holder lapsed, its look found the revision it knew and left the old record, and it took the lease with the old fence plus one, which the holder before had. Ruled out: lost answers and released leases, which compare whole records.

Change: a look always takes the record; a record with a known fence and another holder counts as a broken invariant.

Measured: TestObservedLeaseKeepsItsFence 2 != 3 before, passes after.

--- a/internal/process/operator/server.go
+++ b/internal/process/operator/server.go
@@ -84,6 +84,7 @@
 			s.route(http.MethodGet, PathOutlook, view, s.outlook),
 			s.route(http.MethodPost, PathChange, steer, s.change),
 			s.route(http.MethodPost, PathBlocks, configurer.RoleAdminister, s.blocks),
+			{Method: http.MethodGet, Path: PathPage, Handler: servePage},
 			{Method: http.MethodGet, Path: PathLookup, Handler: s.Lookup.ServeHTTP},
 			{Method: http.MethodGet, Path: PathMetrics, Handler: s.Metrics.ServeHTTP},
 			{Method: http.MethodGet, Path: PathHealth, Handler: s.health},
--- a/pkg/leaser/lease.go
+++ b/pkg/leaser/lease.go
@@ -255,12 +255,13 @@
 	l.lock.Lock()
 	defer l.lock.Unlock()
 	l.reachable = true
+	if r.Fence < l.record.Fence || r.Fence == l.record.Fence && r.Holder != l.record.Holder {
+		l.broken.Add(1)
+	}
+	// The revision may be known from Observe, which says nothing of what is in it.
+	l.record = r
 	if o.Revision != l.revision {
-		if r.Fence < l.record.Fence {
-			l.broken.Add(1)
-		}
 		l.revision = o.Revision
-		l.record = r
 		l.seenSince = l.Clock.Now()
 	}
 	return nil
--- a/pkg/leaser/lease_test.go
+++ b/pkg/leaser/lease_test.go
@@ -191,3 +191,35 @@
 	y.Step(ctx)
 	is.True(held(y))
 }
+
+// TestObservedLeaseKeepsItsFence has a follower hear of the holder's writes, and
+// never look at the lease itself until the holder lapses. What it then takes has a
+// fence of its own.
+func TestObservedLeaseKeepsItsFence(t *testing.T) {
+	is := is.New(t)
+	ctx := context.Background()
+	b := newBench(t)
+	x, y := b.lease("x"), b.lease("y")
+	x.Step(ctx)
+	first, _ := x.Held()
+	is.NoErr(y.Look(ctx))
+	b.now += leaser.DefaultTerm * 2
+	// z takes the lapsed lease and renews; y hears of the last write only.
+	z := b.lease("z")
+	is.NoErr(z.Look(ctx))
+	b.now += leaser.DefaultTerm * 2
+	z.Step(ctx)
+	second, ok := z.Held()
+	is.True(ok)
+	is.Equal(second, first+1)
+	y.Observe(z.Revision())
+	b.now += leaser.DefaultTerm * 2
+	for range 10 {
+		y.Step(ctx)
+		b.now += leaser.DefaultTerm / 4
+	}
+	third, ok := y.Held()
+	is.True(ok)
+	is.Equal(third, second+1)
+	is.Equal(y.Broken(), uint64(0))
+}
