registrar, pooler, linker, encrypter: one piece where there were several

Cause: read once more, the change had the members of a region looked for in five loops, one of them for every 32 KB of a paced export; the slots of a pool added up in three; a type around one limiter; a method and a counter that nobody used any more; the times of key files noted in two places; and the same set-up in pooler tests and fault tests.

Change: View.Region, kept with the view; Pool.room; the limiter by itself; Manager.Linked and Pool.broken gone (a slot given back twice still stops the process); Load alone notes the times; startHeld and ownedTrio in tests. Behaviour and assertions are as they were.

--- a/internal/connection/encrypter/encrypt.go
+++ b/internal/connection/encrypter/encrypt.go
@@ -45,10 +45,11 @@
 	}
 )
 
-// Load reads the files.
+// Load reads the files. When they cannot be used they are not read again until one
+// of them changes.
 func (e *Encrypter) Load() error {
 	// Taken before the files are read: what is written meanwhile is seen later.
-	times := e.times()
+	e.seen = e.times()
 	own, err := tls.LoadX509KeyPair(e.Files.Certificate, e.Files.Key)
 	if err != nil {
 		return eris.Wrap(err, "LinkTLS.Certificate and LinkTLS.Key")
@@ -61,7 +62,6 @@
 	if !pool.AppendCertsFromPEM(text) {
 		return eris.Errorf("LinkTLS.Authority: no certificate in %s", e.Files.Authority)
 	}
-	e.seen = times
 	e.keys.Store(&keys{own: own, authority: pool})
 	return nil
 }
@@ -73,11 +73,9 @@
 }
 
 func (e *Encrypter) reload() {
-	now := e.times()
-	if now == e.seen {
+	if e.times() == e.seen {
 		return
 	}
-	e.seen = now
 	err := e.Load()
 	if e.Reloaded != nil {
 		e.Reloaded(err)
--- a/internal/connection/linker/announce.go
+++ b/internal/connection/linker/announce.go
@@ -25,11 +25,6 @@
 	nearPart = 8
 )
 
-// announcing bounds what a daemon tells of its free slots.
-type announcing struct {
-	limiter *rate.Limiter
-}
-
 // Announce tells the free slots of a pool to those who hand requests to it and
 // think otherwise: the daemons of its site, and others that did so lately. It
 // reports false when some could not be told within the budget and have to be
@@ -51,10 +46,10 @@
 func (m *Manager) mayAnnounce() bool {
 	m.lock.Lock()
 	defer m.lock.Unlock()
-	if m.announcing.limiter == nil {
-		m.announcing.limiter = rate.NewLimiter(announceBudget, announceBurst)
+	if m.announcements == nil {
+		m.announcements = rate.NewLimiter(announceBudget, announceBurst)
 	}
-	return m.announcing.limiter.AllowN(m.Clock.Now().Time(), freeBytes)
+	return m.announcements.AllowN(m.Clock.Now().Time(), freeBytes)
 }
 
 // Tell tells one link the free slots of a pool.
--- a/internal/connection/linker/manager.go
+++ b/internal/connection/linker/manager.go
@@ -6,6 +6,7 @@
 	"sync"
 	"time"
 
+	"golang.org/x/time/rate"
 	"google.golang.org/protobuf/proto"
 
 	"github.com/gullvale/gullvale/internal/connection/framer"
@@ -51,7 +52,8 @@
 		peers    map[registrar.Incarnation]*Peer
 		accepted map[*Session]struct{}
 
-		announcing announcing
+		// announcements bounds what is told of free slots; made with the first.
+		announcements *rate.Limiter
 	}
 )
 
@@ -142,16 +144,6 @@
 	return m.peers[i]
 }
 
-// Linked returns the link to a member if it is up now.
-func (m *Manager) Linked(i registrar.Incarnation) *Peer {
-	m.lock.Lock()
-	defer m.lock.Unlock()
-	if p := m.peers[i]; p != nil && p.Up() {
-		return p
-	}
-	return nil
-}
-
 // Keep ends the links to members for which keep returns false. It is told how
 // long no request went over the link. It returns how many were ended.
 func (m *Manager) Keep(keep func(i registrar.Incarnation, idle time.Duration) bool) int {
--- a/internal/connection/pooler/dark.go
+++ b/internal/connection/pooler/dark.go
@@ -37,10 +37,6 @@
 // overLimit tells whether one request more of another site would take the pool over
 // the part of its slots that may be filled by decision. The caller holds the lock.
 func (p *Pool) overLimit() bool {
-	now := p.clock.Now()
-	slots := 0
-	for _, u := range p.upstreams {
-		slots += u.limit(p.settings.Slots, now)
-	}
+	_, slots := p.room(p.clock.Now())
 	return float64(p.busy()+p.waiting.Len()+1) > float64(slots)*p.settings.Limit
 }
--- a/internal/connection/pooler/dark_test.go
+++ b/internal/connection/pooler/dark_test.go
@@ -4,8 +4,6 @@
 	"context"
 	"io"
 	"net"
-	"net/http"
-	"net/http/httptest"
 	"testing"
 
 	"github.com/matryer/is"
@@ -18,13 +16,8 @@
 // the limit lets no more of them in, but those of this site.
 func TestDetourStaysBelowLimit(t *testing.T) {
 	is := is.New(t)
-	entered, leave := make(chan struct{}, 10), make(chan struct{})
-	s := httptest.NewServer(http.HandlerFunc(func(_ http.ResponseWriter, _ *http.Request) {
-		entered <- struct{}{}
-		<-leave
-	}))
-	defer s.Close()
-	set := settings(4, 10, s.Listener.Addr().String())
+	address, entered, leave := startHeld(t)
+	set := settings(4, 10, address)
 	set.Limit = 0.5
 	o, _ := newOwner(set)
 	results := make(chan exchanger.Result, 10)
--- a/internal/connection/pooler/pace.go
+++ b/internal/connection/pooler/pace.go
@@ -41,10 +41,7 @@
 // expectedWait is how long it takes until so many requests in line have a slot, 0
 // when nothing is known. The caller holds the lock.
 func (p *Pool) expectedWait(line int, now timekeeper.Millis) timekeeper.Millis {
-	slots := 0
-	for _, u := range p.upstreams {
-		slots += u.limit(p.settings.Slots, now)
-	}
+	_, slots := p.room(now)
 	if slots == 0 {
 		return 0
 	}
--- a/internal/connection/pooler/pace_test.go
+++ b/internal/connection/pooler/pace_test.go
@@ -17,13 +17,8 @@
 // come back; one with enough time waits and is answered.
 func TestNoTimeIsRefusedAtOnce(t *testing.T) {
 	is := is.New(t)
-	entered, leave := make(chan struct{}, 1), make(chan struct{})
-	s := httptest.NewServer(http.HandlerFunc(func(_ http.ResponseWriter, _ *http.Request) {
-		entered <- struct{}{}
-		<-leave
-	}))
-	defer s.Close()
-	o, c := newOwner(settings(1, 10, s.Listener.Addr().String()))
+	address, entered, leave := startHeld(t)
+	o, c := newOwner(settings(1, 10, address))
 	results := make(chan exchanger.Result, 2)
 	run := func() { results <- o.Run(context.Background(), call("x", nil, io.Discard)) }
 	// The first request teaches the pool its pace.
--- a/internal/connection/pooler/pool.go
+++ b/internal/connection/pooler/pool.go
@@ -4,7 +4,6 @@
 	"container/list"
 	"context"
 	"sync"
-	"sync/atomic"
 
 	"github.com/gullvale/gullvale/internal/request/exchanger"
 	"github.com/gullvale/gullvale/internal/version/resolver"
@@ -34,8 +33,6 @@
 		deviation float64
 		// ejections counts upstreams taken out for their failures.
 		ejections uint64
-
-		broken atomic.Uint64
 	}
 
 	// Load is the state of a pool at one moment.
@@ -205,7 +202,6 @@
 	u.busy--
 	if u.busy < 0 {
 		// A slot was given back twice: the counts can no longer be trusted.
-		p.broken.Add(1)
 		panic("pooler: slot of " + u.address + " released twice")
 	}
 	p.prune()
@@ -258,13 +254,19 @@
 func (p *Pool) Free() (free, slots int) {
 	p.lock.Lock()
 	defer p.lock.Unlock()
-	now := p.clock.Now()
+	free, slots = p.room(p.clock.Now())
+	return free - p.waiting.Len(), slots
+}
+
+// room adds up the slots that upstreams let be used now, and those of them that
+// are free. The caller holds the lock.
+func (p *Pool) room(now timekeeper.Millis) (free, slots int) {
 	for _, u := range p.upstreams {
 		n := u.limit(p.settings.Slots, now)
 		slots += n
 		free += max(n-u.busy, 0)
 	}
-	return free - p.waiting.Len(), slots
+	return free, slots
 }
 
 // Load returns the load now.
--- a/internal/connection/pooler/pool_test.go
+++ b/internal/connection/pooler/pool_test.go
@@ -77,6 +77,19 @@
 	return h.Listener.Addr().String()
 }
 
+// startHeld starts an upstream that tells of each request that entered, and holds it
+// until it may leave.
+func startHeld(t *testing.T) (address string, entered, leave chan struct{}) {
+	t.Helper()
+	entered, leave = make(chan struct{}, 10), make(chan struct{})
+	s := httptest.NewServer(http.HandlerFunc(func(_ http.ResponseWriter, _ *http.Request) {
+		entered <- struct{}{}
+		<-leave
+	}))
+	t.Cleanup(s.Close)
+	return s.Listener.Addr().String(), entered, leave
+}
+
 // TestSlotsAreExact sends far more calls than there are slots. No upstream sees
 // more than its slots, every call gets its own answer, and connections are as
 // few as slots.
@@ -117,13 +130,8 @@
 // TestRefusalsDidNotRun fills the only slot and the line behind it.
 func TestRefusalsDidNotRun(t *testing.T) {
 	is := is.New(t)
-	entered, leave := make(chan struct{}, 10), make(chan struct{})
-	s := httptest.NewServer(http.HandlerFunc(func(_ http.ResponseWriter, _ *http.Request) {
-		entered <- struct{}{}
-		<-leave
-	}))
-	defer s.Close()
-	o, c := newOwner(settings(1, 1, s.Listener.Addr().String()))
+	address, entered, leave := startHeld(t)
+	o, c := newOwner(settings(1, 1, address))
 	results := make(chan exchanger.Result, 10)
 	run := func(ctx context.Context, deadline timekeeper.Millis) {
 		x := call("x", nil, io.Discard)
@@ -155,13 +163,7 @@
 // waits. The one ends, the other is refused, and nothing new is sent.
 func TestReleaseStopsAtOnce(t *testing.T) {
 	is := is.New(t)
-	entered, leave := make(chan struct{}, 10), make(chan struct{})
-	s := httptest.NewServer(http.HandlerFunc(func(_ http.ResponseWriter, _ *http.Request) {
-		entered <- struct{}{}
-		<-leave
-	}))
-	defer s.Close()
-	address := s.Listener.Addr().String()
+	address, entered, leave := startHeld(t)
 	o, _ := newOwner(settings(1, 5, address))
 	results := make(chan exchanger.Result, 10)
 	go func() { results <- o.Run(context.Background(), call("x", nil, io.Discard)) }()
--- a/internal/process/claimer/claimer.go
+++ b/internal/process/claimer/claimer.go
@@ -141,8 +141,8 @@
 // mates are the other members of a region.
 func (c *Claimer) mates(region string) []registrar.Member {
 	var out []registrar.Member
-	for _, m := range c.view.Members() {
-		if m.Site.Region() == region && m.Incarnation != c.Self().Incarnation {
+	for _, m := range c.view.Region(region) {
+		if m.Incarnation != c.Self().Incarnation {
 			out = append(out, m)
 		}
 	}
--- a/internal/process/runner/pace.go
+++ b/internal/process/runner/pace.go
@@ -20,11 +20,6 @@
 	if set == nil || set.Class != resolver.ClassExport || set.ExportRate == 0 {
 		return nil
 	}
-	sharing := int64(0)
-	for _, m := range s.View.Members() {
-		if m.Site.Region() == here {
-			sharing++
-		}
-	}
-	return d.pacer.Wait(ctx, there, set.ExportRate/max(sharing, 1), bytes)
+	sharing := max(len(s.View.Region(here)), 1)
+	return d.pacer.Wait(ctx, there, set.ExportRate/int64(sharing), bytes)
 }
--- a/internal/process/runner/stop.go
+++ b/internal/process/runner/stop.go
@@ -64,8 +64,8 @@
 	if !d.leaving.Load() {
 		return false
 	}
-	for _, m := range d.snapshot.Load().View.Members() {
-		if m.Site.Region() == d.config.Region && !m.Leaving && m.Incarnation != d.self.Incarnation {
+	for _, m := range d.snapshot.Load().View.Region(d.config.Region) {
+		if !m.Leaving && m.Incarnation != d.self.Incarnation {
 			return true
 		}
 	}
--- a/internal/version/steerer/snapshot.go
+++ b/internal/version/steerer/snapshot.go
@@ -210,8 +210,8 @@
 		used[m.Incarnation] = true
 	}
 	var out []Entry
-	for _, m := range s.View.Members() {
-		if m.Site.Region() == site.Region() && !m.Leaving && !used[m.Incarnation] {
+	for _, m := range s.View.Region(site.Region()) {
+		if !m.Leaving && !used[m.Incarnation] {
 			out = append(out, Entry{Address: m.Callers, Incarnation: m.Incarnation})
 		}
 	}
--- a/pkg/registrar/roster.go
+++ b/pkg/registrar/roster.go
@@ -66,10 +66,11 @@
 	// View is the rosters of all regions together. Build it with NewView; it
 	// is never changed afterwards.
 	View struct {
-		members []Member
-		bySite  map[Site][]Member
-		byID    map[Incarnation]Member
-		past    []Past
+		members  []Member
+		bySite   map[Site][]Member
+		byRegion map[string][]Member
+		byID     map[Incarnation]Member
+		past     []Past
 	}
 )
 
@@ -116,7 +117,7 @@
 
 // NewView joins rosters.
 func NewView(rosters []Roster) *View {
-	v := &View{bySite: map[Site][]Member{}, byID: map[Incarnation]Member{}}
+	v := &View{bySite: map[Site][]Member{}, byRegion: map[string][]Member{}, byID: map[Incarnation]Member{}}
 	for _, r := range rosters {
 		v.members = append(v.members, r.Members...)
 		v.past = append(v.past, r.Past...)
@@ -124,6 +125,7 @@
 	sortMembers(v.members)
 	for _, m := range v.members {
 		v.bySite[m.Site] = append(v.bySite[m.Site], m)
+		v.byRegion[m.Site.Region()] = append(v.byRegion[m.Site.Region()], m)
 		v.byID[m.Incarnation] = m
 	}
 	return v
@@ -149,6 +151,11 @@
 	return v.members
 }
 
+// Region returns the members of a region in order of incarnation.
+func (v *View) Region(name string) []Member {
+	return v.byRegion[name]
+}
+
 // Find returns the member with incarnation i.
 func (v *View) Find(i Incarnation) (Member, bool) {
 	m, ok := v.byID[i]
@@ -162,13 +169,7 @@
 	if stay := staying(v.bySite[site]); len(stay) > 0 {
 		return stay
 	}
-	var region []Member
-	for _, m := range v.members {
-		if m.Site.Region() == site.Region() {
-			region = append(region, m)
-		}
-	}
-	if stay := staying(region); len(stay) > 0 {
+	if stay := staying(v.Region(site.Region())); len(stay) > 0 {
 		return stay
 	}
 	return v.bySite[site]
--- a/test/faults_test.go
+++ b/test/faults_test.go
@@ -206,16 +206,23 @@
 	return all
 }
 
+// ownedTrio has three daemons that own all slots of two upstreams.
+func ownedTrio(t *testing.T, address string) (all []*daemon, upstreams []string) {
+	t.Helper()
+	text, upstreams := twoUpstreams(t)
+	all = trio(t, address)
+	all[0].apply(3, text)
+	eventually(t, "all slots are owned", func() bool { return totalSlots(all...) == 12 })
+	return all, upstreams
+}
+
 // TestPlatformOutage takes the platform away. Requests go on, a killed owner is
 // covered, a new daemon comes up from its peers; when the platform is back, all
 // run the next change.
 func TestPlatformOutage(t *testing.T) {
 	is := is.New(t)
 	address := startPlatform(t)
-	text, upstreams := twoUpstreams(t)
-	all := trio(t, address)
-	all[0].apply(3, text)
-	eventually(t, "all slots are owned", func() bool { return totalSlots(all...) == 12 })
+	all, upstreams := ownedTrio(t, address)
 	x := startTraffic(t, 100, all...)
 	x.flows()
 
@@ -364,10 +371,7 @@
 // others once it has lapsed, and nothing runs twice when it goes on.
 func TestOwnerPaused(t *testing.T) {
 	address := startPlatform(t)
-	text, upstreams := twoUpstreams(t)
-	all := trio(t, address)
-	all[0].apply(3, text)
-	eventually(t, "all slots are owned", func() bool { return totalSlots(all...) == 12 })
+	all, upstreams := ownedTrio(t, address)
 	owner := all[0]
 	for _, d := range all {
 		if d.slots() > owner.slots() {
--- a/test/keys_test.go
+++ b/test/keys_test.go
@@ -66,10 +66,7 @@
 func TestKeysRunOnce(t *testing.T) {
 	is := is.New(t)
 	address := startPlatform(t)
-	text, upstreams := twoUpstreams(t)
-	all := trio(t, address)
-	all[0].apply(3, text)
-	eventually(t, "all slots are owned", func() bool { return totalSlots(all...) == 12 })
+	all, upstreams := ownedTrio(t, address)
 	var keys []string
 	for i := range 20 {
 		keys = append(keys, fmt.Sprint("deposit-", i))
