heartbeater, director, platform: members by heartbeats, one watching lead a region

Change: datagram heartbeats along a fixed order, the first living member of a region watches the store and relays changes by revision; a gap is read from the store. Budgets of repeats and of cold upstreams are divided among the living members.

--- a/internal/process/fronter/fronter.go
+++ b/internal/process/fronter/fronter.go
@@ -13,6 +13,7 @@
 
 	"github.com/gullvale/gullvale/internal/connection/guarder"
 	"github.com/gullvale/gullvale/internal/connection/tracker"
+	"github.com/gullvale/gullvale/internal/process/heartbeater"
 	"github.com/gullvale/gullvale/internal/process/measurer"
 	"github.com/gullvale/gullvale/internal/request/dispatcher"
 	"github.com/gullvale/gullvale/internal/version/cataloger"
@@ -65,10 +66,12 @@
 		// StopWithin is the time between the order to stop and the end.
 		StopWithin timekeeper.Millis
 
-		RetryRatio  float64
-		RetryWindow timekeeper.Millis
-		RetryBurst  func() float64
-		AllowCold   dispatcher.Warmth
+		// Self is the name of this member, Members returns the living ones.
+		Self    string
+		Members func() []heartbeater.Member
+		Bounds  Bounds
+		// Changed is told that the entry became ready or stopped being so.
+		Changed func()
 
 		Log *logrus.Logger
 	}
@@ -100,8 +103,12 @@
 		Upstreams: f.upstreams,
 		Fields:    o.Fields,
 		ParseLoad: o.ParseLoad,
-		AllowCold: o.AllowCold,
-		Retries:   &dispatcher.Retries{Ratio: o.RetryRatio, Window: o.RetryWindow, Burst: o.RetryBurst},
+		AllowCold: f.allowCold,
+		Retries: &dispatcher.Retries{
+			Ratio:  o.Bounds.RetryRatio,
+			Window: o.Bounds.RetryWindow,
+			Burst:  f.retryBurst,
+		},
 		LeavingAt: f.LeavingAt,
 		Decided:   f.logDecision,
 		Meter:     f.Meter,
@@ -122,6 +129,7 @@
 			return false
 		}
 		if f.config.CompareAndSwap(old, c) {
+			f.changed(old == nil)
 			return true
 		}
 	}
@@ -129,7 +137,13 @@
 
 // SetListed says that the upstreams are known.
 func (f *Fronter) SetListed() {
-	f.listed.Store(true)
+	f.changed(!f.listed.Swap(true))
+}
+
+func (f *Fronter) changed(news bool) {
+	if news && f.Ready() && f.options.Changed != nil {
+		go f.options.Changed()
+	}
 }
 
 // Ready tells whether the entry serves callers.
@@ -168,14 +182,19 @@
 	return nil
 }
 
-// Stop ends the entry so that no request is cut: it goes on answering callers
-// that still know its address, tells them to go elsewhere, and ends when nothing
-// is under way or the time is over.
-func (f *Fronter) Stop() {
+// Leave begins to stop: the entry is not ready any more, and callers that still
+// know its address are told to go elsewhere with their answers.
+func (f *Fronter) Leave() {
 	began := f.clock.Now()
 	end := began + f.options.StopWithin - stopReserve
 	f.leavingAt.Store(int64(end))
 	f.options.Log.WithFields(logrus.Fields{"active": f.dispatcher.Active(), "endsIn": end - began}).Info("leaving")
+}
+
+// Stop ends an entry that is leaving so that no request is cut: it answers on
+// until shortly before its time is over, and waits for what is under way.
+func (f *Fronter) Stop() {
+	end := f.LeavingAt()
 	f.until(end-closingTime, func() bool { return false })
 	f.closeListeners(end)
 	f.cancel()
--- /dev/null
+++ b/internal/process/fronter/parts.go
@@ -0,0 +1,95 @@
+package fronter
+
+import (
+	"slices"
+
+	"github.com/gullvale/gullvale/internal/connection/tracker"
+	"github.com/gullvale/gullvale/internal/process/heartbeater"
+	"github.com/gullvale/gullvale/internal/version/cataloger"
+	"github.com/gullvale/gullvale/pkg/hasher"
+	"github.com/gullvale/gullvale/pkg/timekeeper"
+)
+
+const (
+	// burstShare is the part of the fleet's burst of repeats that the living
+	// members divide. The rest covers members that were replaced within the
+	// window, whose repeats still count, and views that differ.
+	burstShare = 0.5
+
+	// coldSenders is how many members send to a cold upstream. One more than
+	// one, so that the loss of one does not leave the upstream without
+	// requests; few, so that what all may send in one second stays within the
+	// bound although members do not agree on anything.
+	coldSenders = 2
+
+	// coldShare is the part of a cold upstream's rate that is used.
+	coldShare = 0.9
+
+	// coldBurst is how many requests a sender may send at once.
+	coldBurst = 1
+
+	// defaultColdRate is the rate of a cold upstream whose service states none.
+	defaultColdRate = 5.0
+)
+
+// Bounds are limits that hold for all members together. Each member uses a part,
+// so that the parts sum to less than the whole without an agreement.
+type Bounds struct {
+	RetryRatio float64
+	RetryBurst float64
+	// RetryWindow is the time over which repeats are counted.
+	RetryWindow timekeeper.Millis
+	// ColdOver and ColdSlack bound the requests to a cold upstream in any
+	// second: its own rate times the first plus the second.
+	ColdOver  float64
+	ColdSlack float64
+}
+
+// retryBurst is this member's part of the burst of repeats.
+func (f *Fronter) retryBurst() float64 {
+	return f.options.Bounds.RetryBurst * burstShare / float64(max(len(f.members()), 1))
+}
+
+// allowCold tells whether this member may send a request to a cold upstream now.
+func (f *Fronter) allowCold(u *cataloger.Upstream, t *tracker.Upstream) bool {
+	if !f.sendsCold(u) {
+		return false
+	}
+	perSecond := defaultColdRate
+	if c := f.Config(); c != nil && c.Services[u.Service].WarmupPerSecond > 0 {
+		perSecond = c.Services[u.Service].WarmupPerSecond
+	}
+	return t.AllowCold(perSecond*coldShare/coldSenders, coldBurst)
+}
+
+// sendsCold tells whether this member is one of the senders to a cold upstream:
+// the first in the upstream's rendezvous order of the members of its region, or
+// of all members if there is none.
+func (f *Fronter) sendsCold(u *cataloger.Upstream) bool {
+	all := f.members()
+	near := slices.DeleteFunc(slices.Clone(all), func(m heartbeater.Member) bool {
+		return m.Site.Region() != u.Site.Region()
+	})
+	if len(near) > 0 {
+		all = near
+	}
+	better := 0
+	own := hasher.Mix(u.Hash(), hasher.OfString(f.options.Self))
+	for _, m := range all {
+		if m.Name == f.options.Self {
+			continue
+		}
+		if hasher.Mix(u.Hash(), hasher.OfString(m.Name)) > own {
+			better++
+		}
+	}
+	isNear := slices.ContainsFunc(all, func(m heartbeater.Member) bool { return m.Name == f.options.Self })
+	return isNear && better < coldSenders
+}
+
+func (f *Fronter) members() []heartbeater.Member {
+	if f.options.Members == nil {
+		return nil
+	}
+	return f.options.Members()
+}
--- /dev/null
+++ b/internal/process/heartbeater/beater.go
@@ -0,0 +1,458 @@
+package heartbeater
+
+import (
+	"cmp"
+	"context"
+	"math/rand/v2"
+	"slices"
+	"sync"
+	"time"
+
+	"google.golang.org/protobuf/proto"
+
+	"github.com/gullvale/gullvale/pkg/hasher"
+	"github.com/gullvale/gullvale/pkg/registrar"
+	"github.com/gullvale/gullvale/pkg/timekeeper"
+)
+
+const (
+	// beatEvery is the time between heartbeats.
+	beatEvery = 500 * time.Millisecond
+
+	// GoneAfter is how long a member may be silent before it counts as gone:
+	// five heartbeats, so that a few lost datagrams do no harm.
+	GoneAfter = 2500 * timekeeper.Millis(1)
+
+	// leadSilence is how long a lead may be silent before the next in the
+	// order takes over: three heartbeats.
+	leadSilence = 1600 * timekeeper.Millis(1)
+
+	// forgetAfter is how long a silent member is still sent heartbeats.
+	forgetAfter = 60 * timekeeper.Second
+
+	// heardBy is to how many members of its region a member sends heartbeats:
+	// the lead and those that would follow it.
+	heardBy = 3
+
+	// leadsElsewhere is to how many members of each other region a lead sends
+	// its table.
+	leadsElsewhere = 2
+
+	// searchSize is to how many known members one that hears no lead sends.
+	searchSize = 12
+
+	// maxRelayBytes bounds the changes in a datagram. Longer ones are read
+	// from the store by each member.
+	maxRelayBytes = 32 << 10
+)
+
+type (
+	// Member is one living daemon.
+	Member struct {
+		Name        string
+		Incarnation uint64
+		Site        registrar.Site
+		// Front takes callers, Beats datagrams.
+		Front    string
+		Beats    string
+		Ready    bool
+		Leaving  bool
+		Reaching bool
+	}
+
+	// Changes is what a lead relays: all changes of a kind of object with
+	// revisions above From and up to To. With Omitted they have to be read
+	// from the store.
+	Changes struct {
+		Kind    string
+		From    uint64
+		To      uint64
+		Body    []byte
+		Omitted bool
+	}
+
+	// Beater sends and receives heartbeats. Self, Send and the addresses must
+	// be set before use.
+	Beater struct {
+		// Self returns this member as it is now.
+		Self func() Member
+		// Seeds are addresses of members that are not known by name.
+		Seeds []string
+		Send  func(address string, datagram []byte)
+		// Marks returns up to which revision each kind is known here.
+		Marks func() map[string]uint64
+		// Marked is told what a lead knows, Relayed what it hands on.
+		Marked  func(kind string, revision uint64)
+		Relayed func(Changes)
+		Clock   timekeeper.Clock
+
+		lock    sync.Mutex
+		members map[string]*known
+		self    Member
+	}
+
+	known struct {
+		Member
+		order hasher.Hash
+		// heard is when the member last lived, as far as it is known here.
+		heard timekeeper.Millis
+		// direct is when a heartbeat of its own came.
+		direct timekeeper.Millis
+		// leading is when it last said that it leads.
+		leading timekeeper.Millis
+	}
+)
+
+// Learn adds a member that somebody else named. It does not count as living until
+// it is heard.
+func (b *Beater) Learn(m Member) {
+	b.lock.Lock()
+	defer b.lock.Unlock()
+	if m.Name == b.self.Name || b.members[m.Name] != nil {
+		return
+	}
+	b.put(m, b.Clock.Now()-GoneAfter)
+}
+
+// Alive returns the members that live, this one included, in a fixed order.
+func (b *Beater) Alive() []Member {
+	now := b.Clock.Now()
+	self := b.Self()
+	b.lock.Lock()
+	defer b.lock.Unlock()
+	alive := []Member{self}
+	for _, k := range b.members {
+		if now-k.heard < GoneAfter {
+			alive = append(alive, k.Member)
+		}
+	}
+	slices.SortFunc(alive, func(x, y Member) int { return cmp.Compare(x.Name, y.Name) })
+	return alive
+}
+
+// Leads tells whether this member leads its region.
+func (b *Beater) Leads() bool {
+	self := b.Self()
+	b.lock.Lock()
+	defer b.lock.Unlock()
+	return b.lead(self) == nil
+}
+
+// Led tells whether another member leads the region and was heard lately as such.
+func (b *Beater) Led() bool {
+	now := b.Clock.Now()
+	self := b.Self()
+	b.lock.Lock()
+	defer b.lock.Unlock()
+	k := b.lead(self)
+	return k != nil && k.Reaching && now-k.leading < leadSilence
+}
+
+// Run sends heartbeats until ctx ends.
+func (b *Beater) Run(ctx context.Context) {
+	t := time.NewTicker(beatEvery)
+	defer t.Stop()
+	for {
+		b.Beat(false)
+		select {
+		case <-ctx.Done():
+			return
+		case <-t.C:
+		}
+	}
+}
+
+// Beat sends one round of heartbeats. With all set it goes to every member of the
+// region, for news that cannot wait.
+func (b *Beater) Beat(all bool) {
+	self := b.Self()
+	marks := b.marks()
+	b.lock.Lock()
+	b.self = self
+	b.forget()
+	leading := b.lead(self) == nil
+	m := &Beat{From: row(self, 0), Leading: leading}
+	if leading {
+		m.Marks = marks
+		m.Rows = b.rows()
+	}
+	to := b.targets(leading, all)
+	b.lock.Unlock()
+	b.send(to, &Datagram{Beat: m})
+}
+
+// Relay hands changes on to the other members of the region if this one leads.
+func (b *Beater) Relay(c Changes) {
+	self := b.Self()
+	b.lock.Lock()
+	if b.lead(self) != nil {
+		b.lock.Unlock()
+		return
+	}
+	to := b.region(self.Site.Region())
+	b.lock.Unlock()
+	m := &Relay{Kind: c.Kind, From: c.From, To: c.To, Changes: c.Body}
+	if len(c.Body) > maxRelayBytes {
+		m.Changes, m.Omitted = nil, true
+	}
+	b.send(to, &Datagram{Relay: m})
+}
+
+// Receive takes a datagram. One that is not understood is dropped: it may come
+// from another version.
+func (b *Beater) Receive(datagram []byte) bool {
+	var d Datagram
+	if proto.Unmarshal(datagram, &d) != nil {
+		return false
+	}
+	if d.Beat != nil && d.Beat.From != nil {
+		b.beaten(d.Beat)
+	}
+	if r := d.Relay; r != nil && b.Relayed != nil {
+		b.Relayed(Changes{Kind: r.Kind, From: r.From, To: r.To, Body: r.Changes, Omitted: r.Omitted})
+	}
+	return true
+}
+
+func (b *Beater) beaten(m *Beat) {
+	now := b.Clock.Now()
+	self := b.Self()
+	b.lock.Lock()
+	b.self = self
+	k := b.note(m.From, now)
+	if k != nil {
+		k.direct = now
+		if m.Leading {
+			k.leading = now
+		}
+	}
+	for _, r := range m.Rows {
+		b.note(r, now-timekeeper.Millis(r.AgeMillis))
+	}
+	ours := k != nil && m.Leading && k.Site.Region() == self.Site.Region()
+	b.lock.Unlock()
+	if !ours || b.Marked == nil {
+		return
+	}
+	for _, r := range m.Marks {
+		b.Marked(r.Kind, r.Revision)
+	}
+}
+
+// note records that a member lived at some moment. The caller holds the lock.
+func (b *Beater) note(r *Row, heard timekeeper.Millis) *known {
+	if r.Name == "" || r.Name == b.self.Name {
+		return nil
+	}
+	k := b.members[r.Name]
+	if k == nil {
+		return b.put(memberOf(r), heard)
+	}
+	if heard >= k.heard {
+		k.Member, k.heard = memberOf(r), heard
+	}
+	return k
+}
+
+func (b *Beater) put(m Member, heard timekeeper.Millis) *known {
+	if b.members == nil {
+		b.members = map[string]*known{}
+	}
+	k := &known{Member: m, order: hasher.OfString(m.Name), heard: heard}
+	b.members[m.Name] = k
+	return k
+}
+
+func (b *Beater) forget() {
+	now := b.Clock.Now()
+	for n, k := range b.members {
+		if now-k.heard > forgetAfter {
+			delete(b.members, n)
+		}
+	}
+}
+
+// lead returns the member that leads the region of self, nil for self. A member
+// that does not reach the store or is leaving comes behind those that do.
+func (b *Beater) lead(self Member) *known {
+	now := b.Clock.Now()
+	var best *known
+	for _, k := range b.members {
+		if k.Site.Region() != self.Site.Region() || now-k.heard > leadSilence {
+			continue
+		}
+		if best == nil || before(k.Member, k.order, best.Member, best.order) {
+			best = k
+		}
+	}
+	if best != nil && before(best.Member, best.order, self, hasher.OfString(self.Name)) {
+		return best
+	}
+	return nil
+}
+
+func before(x Member, xo hasher.Hash, y Member, yo hasher.Hash) bool {
+	if x.Reaching != y.Reaching {
+		return x.Reaching
+	}
+	if x.Leaving != y.Leaving {
+		return y.Leaving
+	}
+	return xo < yo
+}
+
+// targets returns where a heartbeat goes.
+func (b *Beater) targets(leading, all bool) []string {
+	region := b.self.Site.Region()
+	if leading {
+		return append(b.elsewhere(region), b.searched(region)...)
+	}
+	if all {
+		return b.region(region)
+	}
+	first := b.first(region, heardBy)
+	now := b.Clock.Now()
+	for _, k := range b.members {
+		if now-k.leading < leadSilence && k.Site.Region() == region {
+			return first
+		}
+	}
+	return append(first, b.search()...)
+}
+
+// searched is all of the region, and some others while nobody there is heard.
+func (b *Beater) searched(region string) []string {
+	to := b.region(region)
+	now := b.Clock.Now()
+	for _, k := range b.members {
+		if now-k.direct < GoneAfter && k.direct > 0 {
+			return to
+		}
+	}
+	return append(to, b.search()...)
+}
+
+// search returns a few addresses at random, for a member that hears nobody.
+func (b *Beater) search() []string {
+	to := slices.Clone(b.Seeds)
+	for _, k := range b.members {
+		to = append(to, k.Beats)
+	}
+	rand.Shuffle(len(to), func(i, j int) { to[i], to[j] = to[j], to[i] })
+	return to[:min(len(to), searchSize)]
+}
+
+// region returns the addresses of the other members of a region that were heard
+// within the time of forgetting.
+func (b *Beater) region(region string) (to []string) {
+	for _, k := range b.members {
+		if k.Site.Region() == region {
+			to = append(to, k.Beats)
+		}
+	}
+	return to
+}
+
+// elsewhere returns the first members of each other region.
+func (b *Beater) elsewhere(region string) (to []string) {
+	regions := map[string]bool{}
+	for _, k := range b.members {
+		regions[k.Site.Region()] = true
+	}
+	for r := range regions {
+		if r == region {
+			continue
+		}
+		first := b.first(r, leadsElsewhere)
+		if len(first) == 0 {
+			// Nobody there is known to live: try whoever was once named.
+			first = b.region(r)
+			first = first[:min(len(first), leadsElsewhere)]
+		}
+		to = append(to, first...)
+	}
+	return to
+}
+
+// first returns the addresses of the first n living members of a region in the
+// order in which they lead.
+func (b *Beater) first(region string, n int) (to []string) {
+	now := b.Clock.Now()
+	var l []*known
+	for _, k := range b.members {
+		if k.Site.Region() == region && now-k.heard <= GoneAfter {
+			l = append(l, k)
+		}
+	}
+	slices.SortFunc(l, func(x, y *known) int {
+		if before(x.Member, x.order, y.Member, y.order) {
+			return -1
+		}
+		return 1
+	})
+	for _, k := range l[:min(n, len(l))] {
+		to = append(to, k.Beats)
+	}
+	return to
+}
+
+func (b *Beater) rows() (rows []*Row) {
+	now := b.Clock.Now()
+	for _, k := range b.members {
+		if now-k.heard < GoneAfter {
+			rows = append(rows, row(k.Member, now-k.heard))
+		}
+	}
+	return rows
+}
+
+func (b *Beater) marks() (marks []*Mark) {
+	if b.Marks == nil {
+		return nil
+	}
+	for k, r := range b.Marks() {
+		marks = append(marks, &Mark{Kind: k, Revision: r})
+	}
+	return marks
+}
+
+func (b *Beater) send(to []string, d *Datagram) {
+	if len(to) == 0 {
+		return
+	}
+	body, err := proto.Marshal(d)
+	if err != nil {
+		return
+	}
+	slices.Sort(to)
+	for _, a := range slices.Compact(to) {
+		b.Send(a, body)
+	}
+}
+
+func row(m Member, age timekeeper.Millis) *Row {
+	return &Row{
+		Name:        m.Name,
+		Incarnation: m.Incarnation,
+		Site:        string(m.Site),
+		Front:       m.Front,
+		Beats:       m.Beats,
+		Ready:       m.Ready,
+		Leaving:     m.Leaving,
+		Reaching:    m.Reaching,
+		AgeMillis:   uint32(max(age, 0)),
+	}
+}
+
+func memberOf(r *Row) Member {
+	return Member{
+		Name:        r.Name,
+		Incarnation: r.Incarnation,
+		Site:        registrar.Site(r.Site),
+		Front:       r.Front,
+		Beats:       r.Beats,
+		Ready:       r.Ready,
+		Leaving:     r.Leaving,
+		Reaching:    r.Reaching,
+	}
+}
--- a/internal/version/cataloger/catalog.go
+++ b/internal/version/cataloger/catalog.go
@@ -150,6 +150,17 @@
 	return names
 }
 
+// All returns what was last reported of every upstream.
+func (c *Catalog) All() []Upstream {
+	c.lock.Lock()
+	defer c.lock.Unlock()
+	all := make([]Upstream, 0, len(c.upstreams))
+	for _, u := range c.upstreams {
+		all = append(all, *u)
+	}
+	return all
+}
+
 // Known returns what was last reported of an upstream.
 func (c *Catalog) Known(id UpstreamID) (Upstream, bool) {
 	c.lock.Lock()
