--- a/cmd/gullvaled/main.go
+++ b/cmd/gullvaled/main.go
@@ -67,12 +67,13 @@
 }
 
 func runPlatform() int {
-	s, err := platform.ReadSettings(platform.SettingsPath())
+	path := platform.SettingsPath()
+	s, err := platform.ReadSettings(path)
 	if err != nil {
 		fmt.Fprintln(os.Stderr, err)
 		return exitBadInput
 	}
-	if err := platform.Run(s); err != nil {
+	if err := platform.Run(path, s); err != nil {
 		fmt.Fprintln(os.Stderr, err)
 		return exitFailed
 	}
--- a/internal/process/fronter/fronter.go
+++ b/internal/process/fronter/fronter.go
@@ -69,7 +69,7 @@
 		// Self is the name of this member, Members returns the living ones.
 		Self    string
 		Members func() []heartbeater.Member
-		Bounds  Bounds
+		Bounds  func() Bounds
 		// Changed is told that the entry became ready or stopped being so.
 		Changed func()
 
@@ -105,9 +105,7 @@
 		ParseLoad: o.ParseLoad,
 		AllowCold: f.allowCold,
 		Retries: &dispatcher.Retries{
-			Ratio:  o.Bounds.RetryRatio,
-			Window: o.Bounds.RetryWindow,
-			Burst:  f.retryBurst,
+			Limits: f.retryLimits,
 		},
 		LeavingAt: f.LeavingAt,
 		Decided:   f.logDecision,
--- a/internal/process/fronter/parts.go
+++ b/internal/process/fronter/parts.go
@@ -5,6 +5,7 @@
 
 	"github.com/gullvale/gullvale/internal/connection/tracker"
 	"github.com/gullvale/gullvale/internal/process/heartbeater"
+	"github.com/gullvale/gullvale/internal/request/dispatcher"
 	"github.com/gullvale/gullvale/internal/version/cataloger"
 	"github.com/gullvale/gullvale/pkg/hasher"
 	"github.com/gullvale/gullvale/pkg/timekeeper"
@@ -45,9 +46,14 @@
 	ColdSlack float64
 }
 
-// retryBurst is this member's part of the burst of repeats.
-func (f *Fronter) retryBurst() float64 {
-	return f.options.Bounds.RetryBurst * burstShare / float64(max(len(f.members()), 1))
+// retryLimits is this member's part of the repeats.
+func (f *Fronter) retryLimits() dispatcher.RetryLimits {
+	b := f.options.Bounds()
+	return dispatcher.RetryLimits{
+		Ratio:  b.RetryRatio,
+		Burst:  b.RetryBurst * burstShare / float64(max(len(f.members()), 1)),
+		Window: b.RetryWindow,
+	}
 }
 
 // allowCold tells whether this member may send a request to a cold upstream now.
--- a/internal/request/dispatcher/retries.go
+++ b/internal/request/dispatcher/retries.go
@@ -16,18 +16,23 @@
 	// request. The bound is on a sliding window over the whole fleet: a ratio of
 	// the requests for a service plus a burst. Each daemon uses the ratio of its
 	// own requests and its share of the burst, so the parts sum to less than the
-	// whole without an agreement. The zero value allows nothing.
+	// whole without an agreement. Limits must be set before use.
 	Retries struct {
+		Limits func() RetryLimits
+		Clock  timekeeper.Clock
+
+		lock     sync.Mutex
+		services map[resolver.ServiceName]*window
+	}
+
+	// RetryLimits are one daemon's part of the repeats.
+	RetryLimits struct {
 		// Ratio is how many repeats a request earns.
 		Ratio float64
 		// Burst is this daemon's share of the repeats that need no requests.
-		Burst func() float64
+		Burst float64
 		// Window is how long a repeat counts.
 		Window timekeeper.Millis
-		Clock  timekeeper.Clock
-
-		lock     sync.Mutex
-		services map[resolver.ServiceName]*window
 	}
 
 	// window counts one service's requests and repeats in spans of time.
@@ -49,17 +54,18 @@
 func (r *Retries) Request(s resolver.ServiceName) {
 	r.lock.Lock()
 	defer r.lock.Unlock()
-	r.at(s).requests++
+	r.at(s, r.Limits()).requests++
 }
 
 // Take takes one repeat out of the budget, and reports false if none is left.
 func (r *Retries) Take(s resolver.ServiceName) bool {
 	r.lock.Lock()
 	defer r.lock.Unlock()
-	if !r.left(s) {
+	l := r.Limits()
+	if !r.left(s, l) {
 		return false
 	}
-	r.at(s).repeats++
+	r.at(s, l).repeats++
 	return true
 }
 
@@ -67,16 +73,16 @@
 func (r *Retries) Left(s resolver.ServiceName) bool {
 	r.lock.Lock()
 	defer r.lock.Unlock()
-	return r.left(s)
+	return r.left(s, r.Limits())
 }
 
-func (r *Retries) left(s resolver.ServiceName) bool {
-	now := r.at(s).number
+func (r *Retries) left(s resolver.ServiceName, l RetryLimits) bool {
+	now := r.at(s, l).number
 	requests, repeats := r.services[s].sum(now)
-	return float64(repeats+1) <= earnedShare*r.Ratio*float64(requests)+r.Burst()
+	return float64(repeats+1) <= earnedShare*l.Ratio*float64(requests)+l.Burst
 }
 
-func (r *Retries) at(s resolver.ServiceName) *span {
+func (r *Retries) at(s resolver.ServiceName, l RetryLimits) *span {
 	if r.services == nil {
 		r.services = map[resolver.ServiceName]*window{}
 	}
@@ -85,7 +91,7 @@
 		w = &window{}
 		r.services[s] = w
 	}
-	length := max(r.Window/(windowSpans-1), 1)
+	length := max(l.Window/(windowSpans-1), 1)
 	number := int64(r.Clock.Now() / length)
 	p := &w.spans[number%windowSpans]
 	if p.number != number {
