placer: a failing upstream is taken where no other is left

Cause: while all upstreams of a service refuse half of what they get, all of them counted as failing and requests were refused without being sent.

Change: Choose falls back on the first failing upstream that has room.

--- a/internal/request/placer/place.go
+++ b/internal/request/placer/place.go
@@ -124,9 +124,10 @@
 }
 
 // Choose returns the first state that takes a request, or -1 and why the first
-// one did not.
+// one did not. A failing upstream is taken where no other is left: if all of them
+// refuse half of what they get, every second request is still served.
 func Choose(states []State, urgent bool) (int, Verdict) {
-	first := Gone
+	first, failing := Gone, -1
 	for i, s := range states {
 		v := Judge(s, urgent)
 		if v == Fit {
@@ -135,6 +136,13 @@
 		if i == 0 {
 			first = v
 		}
+		s.Failing = false
+		if v == Failing && failing < 0 && Judge(s, urgent) == Fit {
+			failing = i
+		}
+	}
+	if failing >= 0 {
+		return failing, Fit
 	}
 	return -1, first
 }
--- /dev/null
+++ b/internal/request/placer/place_test.go
@@ -0,0 +1,90 @@
+package placer_test
+
+import (
+	"fmt"
+	"testing"
+
+	"github.com/matryer/is"
+
+	"github.com/gullvale/gullvale/internal/request/placer"
+	"github.com/gullvale/gullvale/internal/version/cataloger"
+	"github.com/gullvale/gullvale/pkg/hasher"
+	"github.com/gullvale/gullvale/pkg/registrar"
+)
+
+func catalog(n int) []*cataloger.Upstream {
+	var c cataloger.Catalog
+	for i := range n {
+		site := registrar.Site(fmt.Sprintf("region%d/domain%d", i%3, i%6))
+		c.Put(cataloger.Upstream{ID: cataloger.UpstreamID(fmt.Sprint("u", i)), Service: "s", Site: site, Slots: 6})
+	}
+	return c.Current().Of("s")
+}
+
+func anywhere(string) bool { return true }
+
+func TestListMovesOnlyTheKeysOfWhatLeft(t *testing.T) {
+	is := is.New(t)
+	all := catalog(24)
+	gone := all[7]
+	var rest []*cataloger.Upstream
+	for _, u := range all {
+		if u != gone {
+			rest = append(rest, u)
+		}
+	}
+	for k := range 500 {
+		key := hasher.OfString(fmt.Sprint("key", k))
+		before := placer.List(nil, key, all, anywhere)
+		after := placer.List(nil, key, rest, anywhere)
+		is.Equal(len(before), placer.ListLength)
+		if before[0] == gone {
+			is.Equal(after[0], before[1]) // the next in the order takes over
+			continue
+		}
+		is.Equal(after[0], before[0])
+	}
+}
+
+func TestListKeepsToAllowedRegions(t *testing.T) {
+	is := is.New(t)
+	for k := range 100 {
+		list := placer.List(nil, hasher.OfString(fmt.Sprint(k)), catalog(24), func(r string) bool { return r == "region1" })
+		is.Equal(len(list), placer.ListLength)
+		for _, u := range list {
+			is.Equal(u.Site.Region(), "region1")
+		}
+	}
+}
+
+func TestChoose(t *testing.T) {
+	free := placer.State{Slots: 6}
+	tests := []struct {
+		name   string
+		states []placer.State
+		urgent bool
+		want   int
+		why    placer.Verdict
+	}{
+		{"first", []placer.State{free, free}, false, 0, placer.Fit},
+		{"waits in line at the first", []placer.State{{Slots: 6, Reported: 11}, free}, false, 0, placer.Fit},
+		{"line too long", []placer.State{{Slots: 6, Reported: 13}, free}, false, 1, placer.Fit},
+		{"line for the urgent", []placer.State{{Slots: 6, Reported: 13}, free}, true, 0, placer.Fit},
+		{"own requests", []placer.State{{Slots: 6, Own: 6}, free}, false, 1, placer.Fit},
+		{"down", []placer.State{{Slots: 6, Down: true}, free}, false, 1, placer.Fit},
+		{"failing", []placer.State{{Slots: 6, Failing: true}, free}, false, 1, placer.Fit},
+		{"all failing", []placer.State{{Slots: 6, Failing: true}, {Slots: 6, Failing: true}}, false, 0, placer.Fit},
+		{"failing and the other full", []placer.State{{Slots: 6, Failing: true}, {Slots: 6, Own: 6}}, false, 0, placer.Fit},
+		{"failing and tried", []placer.State{{Slots: 6, Failing: true, Tried: true}, {Slots: 6, Down: true}}, false, -1, placer.Tried},
+		{"all full", []placer.State{{Slots: 6, Reported: 16}, {Slots: 6, Own: 6}}, true, -1, placer.Line},
+		{"none", nil, true, -1, placer.Gone},
+	}
+	for _, tt := range tests {
+		t.Run(tt.name, func(t *testing.T) {
+			is := is.New(t)
+			got, why := placer.Choose(tt.states, tt.urgent)
+			is.Equal(got, tt.want)
+			is.Equal(why, tt.why)
+		})
+	}
+}
