--- a/internal/process/fronter/fronter.go
+++ b/internal/process/fronter/fronter.go
@@ -15,6 +15,7 @@
 	"github.com/gullvale/gullvale/internal/connection/tracker"
 	"github.com/gullvale/gullvale/internal/process/heartbeater"
 	"github.com/gullvale/gullvale/internal/process/measurer"
+	"github.com/gullvale/gullvale/internal/request/assigner"
 	"github.com/gullvale/gullvale/internal/request/dispatcher"
 	"github.com/gullvale/gullvale/internal/version/cataloger"
 	"github.com/gullvale/gullvale/internal/version/matcher"
@@ -70,6 +71,8 @@
 		Self    string
 		Members func() []heartbeater.Member
 		Bounds  func() Bounds
+		// Homes knows where keys live.
+		Homes *assigner.Assigner
 		// Changed is told that the entry became ready or stopped being so.
 		Changed func()
 
@@ -104,6 +107,7 @@
 		Fields:    o.Fields,
 		ParseLoad: o.ParseLoad,
 		AllowCold: f.allowCold,
+		Homes:     o.Homes,
 		Retries: &dispatcher.Retries{
 			Limits: f.retryLimits,
 		},
@@ -279,6 +283,9 @@
 			_, ok := f.Catalog.Known(id)
 			return ok
 		})
+		if f.options.Homes != nil {
+			f.options.Homes.Forget()
+		}
 	}
 }
 
--- a/internal/process/heartbeater/beater.go
+++ b/internal/process/heartbeater/beater.go
@@ -10,6 +10,7 @@
 
 	"google.golang.org/protobuf/proto"
 
+	"github.com/gullvale/gullvale/internal/request/assigner"
 	"github.com/gullvale/gullvale/pkg/hasher"
 	"github.com/gullvale/gullvale/pkg/registrar"
 	"github.com/gullvale/gullvale/pkg/timekeeper"
@@ -84,7 +85,9 @@
 		// Marked is told what a lead knows, Relayed what it hands on.
 		Marked  func(kind string, revision uint64)
 		Relayed func(Changes)
-		Clock   timekeeper.Clock
+		// Homed is told of the homes of keys that another member announced.
+		Homed func([]assigner.Assignment)
+		Clock timekeeper.Clock
 
 		lock    sync.Mutex
 		members map[string]*known
@@ -198,6 +201,21 @@
 	b.send(to, &Datagram{Relay: m})
 }
 
+// Announce tells the other members of the region where keys live.
+func (b *Beater) Announce(list []assigner.Assignment) {
+	self := b.Self()
+	b.lock.Lock()
+	to := b.region(self.Site.Region())
+	b.lock.Unlock()
+	m := &Homes{}
+	for _, a := range list {
+		m.Keys = append(m.Keys, uint64(a.Key))
+		m.Upstreams = append(m.Upstreams, uint64(a.Upstream))
+		m.Versions = append(m.Versions, a.Version)
+	}
+	b.send(to, &Datagram{Homes: m})
+}
+
 // Receive takes a datagram. One that is not understood is dropped: it may come
 // from another version.
 func (b *Beater) Receive(datagram []byte) bool {
@@ -208,6 +226,9 @@
 	if d.Beat != nil && d.Beat.From != nil {
 		b.beaten(d.Beat)
 	}
+	if h := d.Homes; h != nil && b.Homed != nil {
+		b.Homed(assignments(h))
+	}
 	if r := d.Relay; r != nil && b.Relayed != nil {
 		b.Relayed(Changes{Kind: r.Kind, From: r.From, To: r.To, Body: r.Changes, Omitted: r.Omitted})
 	}
@@ -430,6 +451,19 @@
 	}
 }
 
+func assignments(m *Homes) []assigner.Assignment {
+	n := min(len(m.Keys), len(m.Upstreams), len(m.Versions))
+	list := make([]assigner.Assignment, n)
+	for i := range list {
+		list[i] = assigner.Assignment{
+			Key:      hasher.Hash(m.Keys[i]),
+			Upstream: hasher.Hash(m.Upstreams[i]),
+			Version:  m.Versions[i],
+		}
+	}
+	return list
+}
+
 func row(m Member, age timekeeper.Millis) *Row {
 	return &Row{
 		Name:        m.Name,
--- /dev/null
+++ b/internal/request/assigner/assigner.go
@@ -0,0 +1,306 @@
+package assigner
+
+import (
+	"math"
+	"sync"
+
+	"github.com/gullvale/gullvale/internal/request/placer"
+	"github.com/gullvale/gullvale/internal/version/cataloger"
+	"github.com/gullvale/gullvale/pkg/hasher"
+	"github.com/gullvale/gullvale/pkg/timekeeper"
+)
+
+const (
+	// MaxKeys bounds the keys that have a home. Beyond it, keys go by their
+	// hash alone.
+	MaxKeys = 50_000
+
+	// memory is the time over which requests count as the load of a key.
+	memory = 10 * timekeeper.Second
+
+	// forgetAfter is how long a key without requests keeps its home.
+	forgetAfter = 5 * timekeeper.Minute
+
+	// movesPerSecond is how many keys one daemon moves in a second away from
+	// upstreams that have too many. A moved key costs one run without memory.
+	movesPerSecond = 3.0
+
+	// reliefEvery is how often a daemon looks for a key to move, in order to
+	// spend no time on it with most requests.
+	reliefEvery = 50 * timekeeper.Millis(1)
+
+	// crowded is how many times the load of the least loaded candidate a home
+	// must have for one of its keys to move there.
+	crowded = 3.0
+)
+
+type (
+	// Assignment is the home of one key.
+	Assignment struct {
+		Key hasher.Hash
+		// Upstream is the hash of the incarnation.
+		Upstream hasher.Hash
+		// Version grows with each move of the key.
+		Version uint32
+	}
+
+	// Assigner holds the homes. Region and Regions must be set before use.
+	Assigner struct {
+		// Region is where the callers are, Regions are all there are.
+		Region  string
+		Regions []string
+		// Announce hands new homes to the other daemons of the region.
+		Announce func([]Assignment)
+		Clock    timekeeper.Clock
+
+		lock    sync.Mutex
+		homes   map[hasher.Hash]*home
+		loads   map[hasher.Hash]float64
+		base    timekeeper.Millis
+		tokens  float64
+		refill  timekeeper.Millis
+		looked  timekeeper.Millis
+		changed uint64
+	}
+
+	home struct {
+		upstream hasher.Hash
+		version  uint32
+		// weight is the load of the key, in units that grow with time.
+		weight float64
+		used   timekeeper.Millis
+	}
+)
+
+// Home returns the upstream that a key has, and gives it one if it has none that
+// takes work.
+func (a *Assigner) Home(key hasher.Hash, all []*cataloger.Upstream, allowed func(region string) bool) *cataloger.Upstream {
+	now := a.Clock.Now()
+	a.lock.Lock()
+	defer a.lock.Unlock()
+	a.begin(now)
+	h := a.homes[key]
+	var u *cataloger.Upstream
+	if h != nil {
+		u = find(all, h.upstream, allowed)
+	}
+	if u == nil {
+		u = a.settle(key, h, all, allowed, now)
+	} else if v := a.relief(key, u, all, allowed, now); v != nil {
+		u = v
+		a.move(key, h, v)
+	}
+	if h = a.homes[key]; h != nil {
+		w := a.unit(now)
+		h.weight += w
+		h.used = now
+		a.loads[h.upstream] += w
+	}
+	return u
+}
+
+// Move makes a key that waits at a full home live at another upstream.
+func (a *Assigner) Move(key hasher.Hash, to *cataloger.Upstream) bool {
+	now := a.Clock.Now()
+	a.lock.Lock()
+	defer a.lock.Unlock()
+	a.begin(now)
+	h := a.homes[key]
+	if h == nil || h.upstream == to.Hash() || !a.take(now) {
+		return false
+	}
+	a.move(key, h, to)
+	return true
+}
+
+// Learn takes homes over that another daemon announced.
+func (a *Assigner) Learn(list []Assignment) {
+	now := a.Clock.Now()
+	a.lock.Lock()
+	defer a.lock.Unlock()
+	a.begin(now)
+	for _, s := range list {
+		a.learn(s, now)
+	}
+}
+
+// All returns all homes, and a number that grows with each change.
+func (a *Assigner) All() ([]Assignment, uint64) {
+	a.lock.Lock()
+	defer a.lock.Unlock()
+	all := make([]Assignment, 0, len(a.homes))
+	for k, h := range a.homes {
+		all = append(all, Assignment{k, h.upstream, h.version})
+	}
+	return all, a.changed
+}
+
+// Forget drops the keys that had no request for long.
+func (a *Assigner) Forget() {
+	now := a.Clock.Now()
+	a.lock.Lock()
+	defer a.lock.Unlock()
+	a.rebase(now)
+	for k, h := range a.homes {
+		if now-h.used > forgetAfter {
+			a.loads[h.upstream] -= h.weight
+			delete(a.homes, k)
+		}
+	}
+}
+
+func (a *Assigner) learn(s Assignment, now timekeeper.Millis) {
+	h := a.homes[s.Key]
+	if h == nil {
+		if len(a.homes) >= MaxKeys {
+			return
+		}
+		w := a.unit(now)
+		a.homes[s.Key] = &home{upstream: s.Upstream, version: s.Version, weight: w, used: now}
+		a.loads[s.Upstream] += w
+		a.changed++
+		return
+	}
+	newer := s.Version > h.version || s.Version == h.version && s.Upstream < h.upstream
+	if newer && s.Upstream != h.upstream {
+		a.rehome(h, s.Upstream)
+	}
+	if newer {
+		h.version = s.Version
+	}
+}
+
+func (a *Assigner) rehome(h *home, to hasher.Hash) {
+	a.loads[h.upstream] -= h.weight
+	a.loads[to] += h.weight
+	h.upstream = to
+	a.changed++
+}
+
+// settle gives a key a home among the upstreams that its hash prefers.
+func (a *Assigner) settle(key hasher.Hash, h *home, all []*cataloger.Upstream, allowed func(string) bool, now timekeeper.Millis) *cataloger.Upstream {
+	u := a.least(a.candidates(key, all, allowed))
+	if u == nil {
+		return nil
+	}
+	if h != nil {
+		a.move(key, h, u)
+		return u
+	}
+	if len(a.homes) >= MaxKeys {
+		return u
+	}
+	a.homes[key] = &home{upstream: u.Hash(), version: 1, used: now}
+	a.changed++
+	a.announce(key, a.homes[key])
+	return u
+}
+
+// candidates are the upstreams that a key's hash prefers in the region that it
+// belongs to.
+func (a *Assigner) candidates(key hasher.Hash, all []*cataloger.Upstream, allowed func(string) bool) []*cataloger.Upstream {
+	var fit []*cataloger.Upstream
+	for _, u := range all {
+		if allowed(u.Site.Region()) {
+			fit = append(fit, u)
+		}
+	}
+	region := newSpread(a.Region, a.Regions, fit).home(key)
+	return placer.List(nil, key, fit, func(r string) bool { return r == region })
+}
+
+// relief returns a candidate with much less load than the home of a key, nil if
+// there is none or no more keys may move now.
+func (a *Assigner) relief(key hasher.Hash, u *cataloger.Upstream, all []*cataloger.Upstream, allowed func(string) bool, now timekeeper.Millis) *cataloger.Upstream {
+	if now-a.looked < reliefEvery || a.allowance(now) < 1 {
+		return nil
+	}
+	a.looked = now
+	v := a.least(a.candidates(key, all, allowed))
+	if v == nil || v == u {
+		return nil
+	}
+	h := a.homes[key]
+	// The key must not itself make the new home the crowded one.
+	if a.load(u) < crowded*(a.load(v)+h.weight/float64(max(v.Slots, 1))) {
+		return nil
+	}
+	a.take(now)
+	return v
+}
+
+func (a *Assigner) least(candidates []*cataloger.Upstream) (best *cataloger.Upstream) {
+	for _, u := range candidates {
+		if best == nil || a.load(u) < a.load(best) {
+			best = u
+		}
+	}
+	return best
+}
+
+// load is that of the keys that live at u, for each slot.
+func (a *Assigner) load(u *cataloger.Upstream) float64 {
+	return a.loads[u.Hash()] / float64(max(u.Slots, 1))
+}
+
+func (a *Assigner) move(key hasher.Hash, h *home, to *cataloger.Upstream) {
+	a.rehome(h, to.Hash())
+	h.version++
+	a.announce(key, h)
+}
+
+func (a *Assigner) announce(key hasher.Hash, h *home) {
+	if a.Announce != nil {
+		a.Announce([]Assignment{{key, h.upstream, h.version}})
+	}
+}
+
+func (a *Assigner) allowance(now timekeeper.Millis) float64 {
+	a.tokens = min(a.tokens+float64(now-a.refill)/float64(timekeeper.Second)*movesPerSecond, movesPerSecond)
+	a.refill = now
+	return a.tokens
+}
+
+func (a *Assigner) take(now timekeeper.Millis) bool {
+	if a.allowance(now) < 1 {
+		return false
+	}
+	a.tokens--
+	return true
+}
+
+// unit is the weight of one request now. It grows with time, so that older
+// requests count less without being looked at again.
+func (a *Assigner) unit(now timekeeper.Millis) float64 {
+	return math.Exp(float64(now-a.base) / float64(memory))
+}
+
+func (a *Assigner) begin(now timekeeper.Millis) {
+	if a.homes == nil {
+		a.homes, a.loads = map[hasher.Hash]*home{}, map[hasher.Hash]float64{}
+		a.base, a.refill = now, now
+	}
+	if now-a.base > 100*memory {
+		a.rebase(now)
+	}
+}
+
+// rebase brings all weights back to units of now.
+func (a *Assigner) rebase(now timekeeper.Millis) {
+	f := 1 / a.unit(now)
+	clear(a.loads)
+	for _, h := range a.homes {
+		h.weight *= f
+		a.loads[h.upstream] += h.weight
+	}
+	a.base = now
+}
+
+func find(all []*cataloger.Upstream, id hasher.Hash, allowed func(string) bool) *cataloger.Upstream {
+	for _, u := range all {
+		if u.Hash() == id && allowed(u.Site.Region()) {
+			return u
+		}
+	}
+	return nil
+}
--- /dev/null
+++ b/internal/request/assigner/assigner_test.go
@@ -0,0 +1,202 @@
+package assigner_test
+
+import (
+	"fmt"
+	"testing"
+
+	"github.com/matryer/is"
+
+	"github.com/gullvale/gullvale/internal/request/assigner"
+	"github.com/gullvale/gullvale/internal/request/placer"
+	"github.com/gullvale/gullvale/internal/version/cataloger"
+	"github.com/gullvale/gullvale/pkg/hasher"
+	"github.com/gullvale/gullvale/pkg/registrar"
+	"github.com/gullvale/gullvale/pkg/timekeeper"
+)
+
+var regions = []string{"east", "north", "west"}
+
+// world is a clock, upstreams and an assigner.
+type world struct {
+	now timekeeper.Millis
+	all []*cataloger.Upstream
+}
+
+// newWorld has the given number of upstreams in each region.
+func newWorld(counts ...int) *world {
+	var c cataloger.Catalog
+	for r, n := range counts {
+		for i := range n {
+			c.Put(cataloger.Upstream{
+				ID:      cataloger.UpstreamID(fmt.Sprint(regions[r], i)),
+				Service: "s",
+				Site:    registrar.Site(regions[r] + "/a"),
+				Slots:   6,
+			})
+		}
+	}
+	return &world{all: c.Current().Of("s")}
+}
+
+func (w *world) clock() timekeeper.Clock {
+	return timekeeper.Clock{Monotonic: func() timekeeper.Millis { return w.now }}
+}
+
+func (w *world) assigner(region string) *assigner.Assigner {
+	return &assigner.Assigner{Region: region, Regions: regions, Clock: w.clock()}
+}
+
+func anywhere(string) bool { return true }
+
+func key(i int) hasher.Hash { return hasher.OfString(fmt.Sprint("key", i)) }
+
+// spreadOf returns the most keys on one upstream over the mean.
+func spreadOf(all []*cataloger.Upstream, keys int, home func(hasher.Hash) *cataloger.Upstream) float64 {
+	n, most := map[*cataloger.Upstream]int{}, 0
+	for i := range keys {
+		u := home(key(i))
+		n[u]++
+		most = max(most, n[u])
+	}
+	return float64(most) * float64(len(all)) / float64(keys)
+}
+
+// The load: 450 keys on 24 upstreams. By hash alone the fullest upstream has 1.4
+// times the mean and more; with homes less than 1.25.
+func TestNewKeysAreSpreadEvenly(t *testing.T) {
+	is := is.New(t)
+	w := newWorld(8, 8, 8)
+	byHash := spreadOf(w.all, 450, func(k hasher.Hash) *cataloger.Upstream {
+		return placer.List(nil, k, w.all, anywhere)[0]
+	})
+	of := map[string]*assigner.Assigner{}
+	for _, r := range regions {
+		of[r] = w.assigner(r)
+	}
+	i := 0
+	byHome := spreadOf(w.all, 450, func(k hasher.Hash) *cataloger.Upstream {
+		i++
+		return of[regions[i%len(regions)]].Home(k, w.all, anywhere)
+	})
+	t.Logf("most over mean: by hash %.2f, with homes %.2f", byHash, byHome)
+	is.True(byHash > 1.35)
+	is.True(byHome < 1.25)
+}
+
+// A region with few upstreams keeps the part of its keys that they can carry.
+func TestRegionKeepsWhatItCarries(t *testing.T) {
+	is := is.New(t)
+	w := newWorld(2, 10, 12)
+	local := func(region string) (n int) {
+		a := w.assigner(region)
+		for i := range 600 {
+			if a.Home(key(i), w.all, anywhere).Site.Region() == region {
+				n++
+			}
+		}
+		return n
+	}
+	is.Equal(local("north"), 600)
+	is.Equal(local("west"), 600)
+	small := local("east")
+	is.True(small > 120 && small < 180) // a quarter: 2 of 24 of the slots for a third of the load
+}
+
+func TestHomeStays(t *testing.T) {
+	is := is.New(t)
+	w := newWorld(8, 8, 8)
+	a := w.assigner("east")
+	first := map[int]*cataloger.Upstream{}
+	for i := range 50 {
+		first[i] = a.Home(key(i), w.all, anywhere)
+	}
+	for range 200 {
+		w.now += 20
+		for i := range 50 {
+			is.Equal(a.Home(key(i), w.all, anywhere), first[i])
+		}
+	}
+}
+
+func TestHomeMovesWhenItsUpstreamIsGone(t *testing.T) {
+	is := is.New(t)
+	w := newWorld(4)
+	a := w.assigner("east")
+	gone := a.Home(key(1), w.all, anywhere)
+	var rest []*cataloger.Upstream
+	for _, u := range w.all {
+		if u != gone {
+			rest = append(rest, u)
+		}
+	}
+	next := a.Home(key(1), rest, anywhere)
+	is.True(next != gone)
+	// It does not move back when the other returns: that would cost a second
+	// run without memory.
+	is.Equal(a.Home(key(1), w.all, anywhere), next)
+}
+
+// A hot upstream gives keys away, no more than a few in a second.
+func TestCrowdedHomeGivesKeysAway(t *testing.T) {
+	is := is.New(t)
+	w := newWorld(4)
+	a := w.assigner("east")
+	var hot *cataloger.Upstream
+	var kept []int
+	for i := range 200 {
+		u := a.Home(key(i), w.all, anywhere)
+		if hot == nil {
+			hot = u
+		}
+		if u == hot {
+			kept = append(kept, i)
+		}
+	}
+	// All load is on the keys of one upstream.
+	turn := 0
+	moved := func(seconds int) (n int) {
+		for range seconds * 100 {
+			w.now += 10
+			a.Home(key(kept[turn%len(kept)]), w.all, anywhere)
+			turn++
+		}
+		for _, i := range kept {
+			if a.Home(key(i), w.all, anywhere) != hot {
+				n++
+			}
+		}
+		return n
+	}
+	is.True(moved(1) <= 7) // three at once and three a second
+	is.True(moved(20) > 10)
+	is.True(moved(1) < len(kept))
+}
+
+func TestDaemonsAgree(t *testing.T) {
+	is := is.New(t)
+	w := newWorld(8, 8, 8)
+	a, b := w.assigner("east"), w.assigner("east")
+	a.Announce = func(l []assigner.Assignment) { b.Learn(l) }
+	b.Announce = func(l []assigner.Assignment) { a.Learn(l) }
+	for i := range 200 {
+		first, second := a, b
+		if i%2 == 1 {
+			first, second = b, a
+		}
+		is.Equal(first.Home(key(i), w.all, anywhere), second.Home(key(i), w.all, anywhere))
+	}
+	// Homes chosen at the same moment on both sides converge.
+	c, d := w.assigner("east"), w.assigner("east")
+	var ofC, ofD []assigner.Assignment
+	c.Announce = func(l []assigner.Assignment) { ofC = append(ofC, l...) }
+	d.Announce = func(l []assigner.Assignment) { ofD = append(ofD, l...) }
+	for i := range 50 {
+		c.Home(key(i), w.all, anywhere)
+		d.Home(key(49-i), w.all, anywhere)
+	}
+	c.Learn(ofD)
+	d.Learn(ofC)
+	for i := range 50 {
+		is.Equal(c.Home(key(i), w.all, anywhere), d.Home(key(i), w.all, anywhere))
+	}
+}
--- /dev/null
+++ b/internal/request/assigner/region.go
@@ -0,0 +1,70 @@
+package assigner
+
+import (
+	"github.com/gullvale/gullvale/internal/version/cataloger"
+	"github.com/gullvale/gullvale/pkg/hasher"
+)
+
+// regionSalt keeps the choice of a region apart from that of an upstream.
+const regionSalt hasher.Hash = 0x72656769
+
+type (
+	// regionShare is the part of one region's keys that another region takes.
+	regionShare struct {
+		region string
+		hash   hasher.Hash
+		part   float64
+	}
+
+	// spread divides the keys of the callers of a region among regions.
+	spread []regionShare
+)
+
+// newSpread divides the keys of origin such that all regions are loaded in
+// proportion to their slots if each region has the same demand, and as many keys
+// as possible stay where their callers are. Demand differs and changes; keys that
+// overload a region are moved one by one.
+func newSpread(origin string, regions []string, all []*cataloger.Upstream) spread {
+	slots, total := map[string]float64{}, 0.0
+	for _, u := range all {
+		slots[u.Site.Region()] += float64(max(u.Slots, 1))
+		total += float64(max(u.Slots, 1))
+	}
+	if total == 0 {
+		return nil
+	}
+	demand := 1 / float64(max(len(regions), 1))
+	spare, spares := map[string]float64{}, 0.0
+	for r, n := range slots {
+		spare[r] = max(n/total-demand, 0)
+		spares += spare[r]
+	}
+	own := min(slots[origin]/total/demand, 1)
+	var s spread
+	for r := range slots {
+		part := 0.0
+		if spares > 0 {
+			part = (1 - own) * spare[r] / spares
+		}
+		if r == origin {
+			part += own
+		}
+		if part > 0 {
+			s = append(s, regionShare{r, hasher.OfString(r), part})
+		}
+	}
+	return s
+}
+
+// home picks the region of a key, "" for none. A share that grows takes keys from
+// the others and moves none besides.
+func (s spread) home(key hasher.Hash) string {
+	best, least := "", 0.0
+	for _, r := range s {
+		d := hasher.Distance(hasher.Mix(key, regionSalt), r.hash, 1/r.part)
+		if best == "" || d < least {
+			best, least = r.region, d
+		}
+	}
+	return best
+}
--- a/internal/request/dispatcher/dispatcher.go
+++ b/internal/request/dispatcher/dispatcher.go
@@ -6,6 +6,7 @@
 
 	"github.com/gullvale/gullvale/internal/connection/tracker"
 	"github.com/gullvale/gullvale/internal/process/measurer"
+	"github.com/gullvale/gullvale/internal/request/assigner"
 	"github.com/gullvale/gullvale/internal/version/cataloger"
 	"github.com/gullvale/gullvale/internal/version/matcher"
 	"github.com/gullvale/gullvale/pkg/timekeeper"
@@ -48,6 +49,8 @@
 		// AllowCold is asked before a request goes to a cold upstream. Nil
 		// allows none.
 		AllowCold Warmth
+		// Homes knows where keys live. Nil means that they go by their hash.
+		Homes *assigner.Assigner
 		// Retries holds the budget of repeated sendings.
 		Retries *Retries
 		// LeavingAt returns when this process ends, 0 if it was not asked to.
--- a/internal/request/dispatcher/exchange.go
+++ b/internal/request/dispatcher/exchange.go
@@ -213,7 +213,7 @@
 	s := x.d.Catalog()
 	x.decision.Catalog = s.Change
 	var space [placer.ListLength]*cataloger.Upstream
-	list := placer.List(space[:0], x.key, s.Of(x.part), x.route.Allows)
+	list := x.candidates(space[:0], s.Of(x.part))
 	var states [placer.ListLength]placer.State
 	for i, u := range list {
 		states[i] = x.state(u)
@@ -223,9 +223,37 @@
 		return nil, verdict
 	}
 	x.decision.Load, x.decision.Own = states[i].Reported, states[i].Own
+	if i > 0 && (verdict == placer.Line || verdict == placer.Own) && x.homed() {
+		x.d.Homes.Move(x.key, list[i])
+	}
 	return list[i], placer.Fit
 }
 
+// candidates returns the home of the request's key, and the upstreams that its
+// hash prefers.
+func (x *exchange) candidates(l []*cataloger.Upstream, all []*cataloger.Upstream) []*cataloger.Upstream {
+	if !x.homed() {
+		return placer.List(l, x.key, all, x.route.Allows)
+	}
+	home := x.d.Homes.Home(x.key, all, x.route.Allows)
+	if home == nil {
+		return l
+	}
+	l = append(l, home)
+	var space [placer.ListLength]*cataloger.Upstream
+	for _, u := range placer.List(space[:0], x.key, all, x.route.Allows) {
+		if u != home && len(l) < placer.ListLength {
+			l = append(l, u)
+		}
+	}
+	return l
+}
+
+// homed tells whether the request's key has a home that is worth keeping to.
+func (x *exchange) homed() bool {
+	return x.d.Homes != nil && x.route.Sticky && x.decision.Key != ""
+}
+
 func (x *exchange) state(u *cataloger.Upstream) placer.State {
 	t := x.d.Upstreams.Of(u)
 	s := t.State(u)
--- a/internal/request/placer/place.go
+++ b/internal/request/placer/place.go
@@ -123,26 +123,26 @@
 	return Fit
 }
 
-// Choose returns the first state that takes a request, or -1 and why the first
-// one did not. A failing upstream is taken where no other is left: if all of them
+// Choose returns the first state that takes a request, or -1, and why the first
+// one of all was passed over. A failing upstream is taken where no other is left: if all of them
 // refuse half of what they get, every second request is still served.
 func Choose(states []State, urgent bool) (int, Verdict) {
 	first, failing := Gone, -1
 	for i, s := range states {
 		v := Judge(s, urgent)
-		if v == Fit {
-			return i, Fit
-		}
 		if i == 0 {
 			first = v
 		}
+		if v == Fit {
+			return i, first
+		}
 		s.Failing = false
 		if v == Failing && failing < 0 && Judge(s, urgent) == Fit {
 			failing = i
 		}
 	}
 	if failing >= 0 {
-		return failing, Fit
+		return failing, first
 	}
 	return -1, first
 }
