heartbeater: a member that takes itself for the lead is told of the better one

Leads did not learn of other regions from members that did.

Change: who hears such a claim answers with the lead that it follows; members pass on whom they heard of other regions.

--- a/internal/process/heartbeater/beater.go
+++ b/internal/process/heartbeater/beater.go
@@ -178,6 +178,8 @@
 	if leading {
 		m.Marks = marks
 		m.Rows = b.rows()
+	} else {
+		m.Rows = b.visitors()
 	}
 	to := b.targets(leading, all)
 	b.lock.Unlock()
@@ -251,7 +253,14 @@
 		b.note(r, now-timekeeper.Millis(r.AgeMillis))
 	}
 	ours := k != nil && m.Leading && k.Site.Region() == self.Site.Region()
+	var better *Row
+	if ours {
+		better = b.better(k, self)
+	}
 	b.lock.Unlock()
+	if better != nil {
+		b.send([]string{m.From.Beats}, &Datagram{Beat: &Beat{From: row(self, 0), Rows: []*Row{better}}})
+	}
 	if !ours || b.Marked == nil {
 		return
 	}
@@ -260,6 +269,18 @@
 	}
 }
 
+// better returns the lead of the region if it is another one than k, which takes
+// itself for the lead since it does not know of that one. The caller holds the
+// lock.
+func (b *Beater) better(k *known, self Member) *Row {
+	now := b.Clock.Now()
+	lead := b.lead(self)
+	if lead == nil || lead == k || now-lead.leading > leadSilence {
+		return nil
+	}
+	return row(lead.Member, now-lead.heard)
+}
+
 // note records that a member lived at some moment. The caller holds the lock.
 func (b *Beater) note(r *Row, heard timekeeper.Millis) *known {
 	if r.Name == "" || r.Name == b.self.Name {
@@ -427,6 +448,18 @@
 	return rows
 }
 
+// visitors are the members of other regions that were heard directly: the lead may
+// not know them.
+func (b *Beater) visitors() (rows []*Row) {
+	now := b.Clock.Now()
+	for _, k := range b.members {
+		if k.Site.Region() != b.self.Site.Region() && k.direct > 0 && now-k.direct < GoneAfter {
+			rows = append(rows, row(k.Member, now-k.direct))
+		}
+	}
+	return rows
+}
+
 func (b *Beater) marks() (marks []*Mark) {
 	if b.Marks == nil {
 		return nil
--- /dev/null
+++ b/internal/process/heartbeater/beater_test.go
@@ -0,0 +1,179 @@
+package heartbeater_test
+
+import (
+	"fmt"
+	"math/rand/v2"
+	"testing"
+
+	"github.com/matryer/is"
+
+	"github.com/gullvale/gullvale/internal/process/heartbeater"
+	"github.com/gullvale/gullvale/pkg/registrar"
+	"github.com/gullvale/gullvale/pkg/timekeeper"
+)
+
+// round is the time between heartbeats, as far as the tests are concerned.
+const round = 500
+
+type (
+	// net delivers datagrams at once, except to and from what is dead, and
+	// loses some.
+	network struct {
+		now     timekeeper.Millis
+		members map[string]*member
+		loss    float64
+		random  *rand.Rand
+	}
+
+	member struct {
+		*heartbeater.Beater
+		self    heartbeater.Member
+		dead    bool
+		relayed []heartbeater.Changes
+	}
+)
+
+func newNetwork() *network {
+	return &network{members: map[string]*member{}, random: rand.New(rand.NewPCG(1, 2))}
+}
+
+// add adds a member that knows those that are named.
+func (n *network) add(name string, site registrar.Site, knows ...string) *member {
+	m := &member{self: heartbeater.Member{Name: name, Site: site, Front: "front-" + name, Beats: name, Ready: true, Reaching: true}}
+	m.Beater = &heartbeater.Beater{
+		Self:    func() heartbeater.Member { return m.self },
+		Seeds:   knows,
+		Clock:   timekeeper.Clock{Monotonic: func() timekeeper.Millis { return n.now }},
+		Relayed: func(c heartbeater.Changes) { m.relayed = append(m.relayed, c) },
+		Send: func(to string, d []byte) {
+			r := n.members[to]
+			if m.dead || r == nil || r.dead || n.random.Float64() < n.loss {
+				return
+			}
+			r.Receive(d)
+		},
+	}
+	n.members[name] = m
+	return m
+}
+
+func (n *network) rounds(k int) {
+	for range k {
+		n.now += round
+		for _, name := range n.names() {
+			if m := n.members[name]; !m.dead {
+				m.Beat(false)
+			}
+		}
+	}
+}
+
+func (n *network) names() (names []string) {
+	for i := range len(n.members) {
+		names = append(names, fmt.Sprintf("m%02d", i))
+	}
+	return names
+}
+
+// leads returns who takes itself for the lead of a region.
+func (n *network) leads(region string) (names []string) {
+	for _, name := range n.names() {
+		m := n.members[name]
+		if !m.dead && m.self.Site.Region() == region && m.Leads() {
+			names = append(names, name)
+		}
+	}
+	return names
+}
+
+var sites = []registrar.Site{"east/a", "west/a", "north/a", "east/b"}
+
+// fleet builds members that know three seeds and nothing else.
+func fleet(n *network, size int) {
+	for i := range size {
+		n.add(fmt.Sprintf("m%02d", i), sites[i%len(sites)], "m00", "m01", "m02")
+	}
+}
+
+func TestOneLeadARegion(t *testing.T) {
+	is := is.New(t)
+	n := newNetwork()
+	n.loss = 0.02
+	fleet(n, 40)
+	n.rounds(12)
+	for _, r := range []string{"east", "west", "north"} {
+		is.Equal(len(n.leads(r)), 1)
+	}
+	for _, m := range n.members {
+		is.Equal(len(m.Alive()), 40)
+		is.True(m.Leads() || m.Led())
+	}
+}
+
+func TestDeadMemberIsForgotten(t *testing.T) {
+	is := is.New(t)
+	n := newNetwork()
+	fleet(n, 24)
+	n.rounds(12)
+	lead := n.leads("east")[0]
+	n.members[lead].dead = true
+	n.members["m07"].dead = true
+	// A look-up may name a dead one for 7 s; these are 4.5.
+	n.rounds(9)
+	is.Equal(len(n.leads("east")), 1)
+	for _, m := range n.members {
+		if m.dead {
+			continue
+		}
+		for _, a := range m.Alive() {
+			is.True(a.Name != lead && a.Name != "m07")
+		}
+	}
+}
+
+func TestLeadThatLostTheStoreIsFollowed(t *testing.T) {
+	is := is.New(t)
+	n := newNetwork()
+	fleet(n, 12)
+	n.rounds(12)
+	old := n.leads("east")[0]
+	n.members[old].self.Reaching = false
+	n.rounds(4)
+	is.Equal(len(n.leads("east")), 1)
+	is.True(n.leads("east")[0] != old)
+}
+
+func TestRelayReachesTheRegion(t *testing.T) {
+	is := is.New(t)
+	n := newNetwork()
+	fleet(n, 12)
+	n.rounds(12)
+	lead := n.leads("east")[0]
+	n.members[lead].Relay(heartbeater.Changes{Kind: "k", From: 3, To: 5, Body: []byte("x")})
+	n.members[lead].Relay(heartbeater.Changes{Kind: "k", From: 5, To: 6, Body: make([]byte, 100<<10)})
+	for _, m := range n.members {
+		if m.self.Site.Region() != "east" || m.self.Name == lead {
+			is.Equal(len(m.relayed), 0)
+			continue
+		}
+		is.Equal(len(m.relayed), 2)
+		is.Equal(m.relayed[0], heartbeater.Changes{Kind: "k", From: 3, To: 5, Body: []byte("x")})
+		is.True(m.relayed[1].Omitted) // too long for a datagram
+	}
+}
+
+func TestDatagramsThatAreNoneAreDropped(t *testing.T) {
+	is := is.New(t)
+	n := newNetwork()
+	m := n.add("m00", "east/a")
+	is.True(!m.Receive([]byte("\xff\xff\xff")))
+	is.True(m.Receive(nil))
+	is.Equal(len(m.Alive()), 1)
+}
+
+func FuzzReceive(f *testing.F) {
+	n := newNetwork()
+	m := n.add("m00", "east/a")
+	f.Add([]byte("\x0a\x05\x0a\x03\x0a\x01a"))
+	f.Fuzz(func(_ *testing.T, d []byte) { m.Receive(d) })
+}
