heartbeater: digests in place of tables, the strongest lead

A member that knew only others that do not lead stayed alone.

Change: heartbeats carry a digest of the living members; the lead sends the table to those whose digest differs and vouches for the others. What a lead vouches for is not told on, since two members could keep a dead one alive so (seen in the test). Who follows nobody is told of the lead. The strongest VM leads.

A first form without Reply answered replies without end (stack overflow in the test).

--- a/internal/process/heartbeater/beater.go
+++ b/internal/process/heartbeater/beater.go
@@ -35,6 +35,9 @@
 	// the lead and those that would follow it.
 	heardBy = 3
 
+	// farEvery is how many rounds pass between tables to other regions.
+	farEvery = 1
+
 	// leadsElsewhere is to how many members of each other region a lead sends
 	// its table.
 	leadsElsewhere = 2
@@ -59,6 +62,9 @@
 		Ready    bool
 		Leaving  bool
 		Reaching bool
+		// Strength is what the VM can carry, in any unit that all share. The
+		// strongest lead, since a lead's cost grows with its region.
+		Strength uint32
 	}
 
 	// Changes is what a lead relays: all changes of a kind of object with
@@ -92,13 +98,18 @@
 		lock    sync.Mutex
 		members map[string]*known
 		self    Member
+		round   int
 	}
 
 	known struct {
 		Member
 		order hasher.Hash
-		// heard is when the member last lived, as far as it is known here.
+		// heard is when the member last lived, by its own heartbeat or by a row
+		// that says how old it is. Only this is told to others.
 		heard timekeeper.Millis
+		// vouched is when the lead last stood up for the member. It is not told
+		// to others, since two members could keep a dead one alive so.
+		vouched timekeeper.Millis
 		// direct is when a heartbeat of its own came.
 		direct timekeeper.Millis
 		// leading is when it last said that it leads.
@@ -125,7 +136,7 @@
 	defer b.lock.Unlock()
 	alive := []Member{self}
 	for _, k := range b.members {
-		if now-k.heard < GoneAfter {
+		if k.lives(now) {
 			alive = append(alive, k.Member)
 		}
 	}
@@ -133,6 +144,11 @@
 	return alive
 }
 
+// lives tells whether the member is taken for living.
+func (k *known) lives(now timekeeper.Millis) bool {
+	return now-max(k.heard, k.vouched) < GoneAfter
+}
+
 // Leads tells whether this member leads its region.
 func (b *Beater) Leads() bool {
 	self := b.Self()
@@ -143,12 +159,18 @@
 
 // Led tells whether another member leads the region and was heard lately as such.
 func (b *Beater) Led() bool {
-	now := b.Clock.Now()
 	self := b.Self()
 	b.lock.Lock()
 	defer b.lock.Unlock()
 	k := b.lead(self)
-	return k != nil && k.Reaching && now-k.leading < leadSilence
+	return k != nil && k.Reaching && b.following(self)
+}
+
+// following tells whether another member leads and says so. The caller holds the
+// lock.
+func (b *Beater) following(self Member) bool {
+	k := b.lead(self)
+	return k != nil && b.Clock.Now()-k.leading < leadSilence
 }
 
 // Run sends heartbeats until ctx ends.
@@ -173,17 +195,28 @@
 	b.lock.Lock()
 	b.self = self
 	b.forget()
+	b.round++
 	leading := b.lead(self) == nil
-	m := &Beat{From: row(self, 0), Leading: leading}
-	if leading {
-		m.Marks = marks
-		m.Rows = b.rows()
-	} else {
-		m.Rows = b.visitors()
-	}
-	to := b.targets(leading, all)
+	near := &Beat{From: row(self, 0), Leading: leading, Following: b.following(self), Digest: b.digest(leading)}
+	var far *Beat
+	var to, toFar []string
+	switch {
+	case leading:
+		near.Marks = marks
+		to = b.searched(self.Site.Region())
+		if all || b.round%farEvery == 0 {
+			far = &Beat{From: near.From, Leading: true, Rows: b.rows(self.Site.Region())}
+			toFar = b.elsewhere(self.Site.Region())
+		}
+	case all:
+		to = b.region(self.Site.Region())
+	default:
+		near.Rows = b.visitors()
+		to = b.upward(self.Site.Region())
+	}
 	b.lock.Unlock()
-	b.send(to, &Datagram{Beat: m})
+	b.send(to, &Datagram{Beat: near})
+	b.send(toFar, &Datagram{Beat: far})
 }
 
 // Relay hands changes on to the other members of the region if this one leads.
@@ -243,35 +276,93 @@
 	b.lock.Lock()
 	b.self = self
 	k := b.note(m.From, now)
-	if k != nil {
-		k.direct = now
-		if m.Leading {
-			k.leading = now
-		}
+	if k == nil {
+		b.lock.Unlock()
+		return
+	}
+	k.direct = now
+	if m.Leading {
+		k.leading = now
+	}
+	if m.Full {
+		b.expire(now)
 	}
 	for _, r := range m.Rows {
 		b.note(r, now-timekeeper.Millis(r.AgeMillis))
 	}
-	ours := k != nil && m.Leading && k.Site.Region() == self.Site.Region()
-	var better *Row
-	if ours {
-		better = b.better(k, self)
+	near := k.Site.Region() == self.Site.Region()
+	var reply []*Row
+	full := false
+	better := b.better(k, self)
+	switch {
+	case m.Reply:
+	case near && !m.Following && better != nil:
+		reply = append(reply, better)
+	case near && m.Leading:
+		if m.Digest == b.digest(false) {
+			b.vouch(now)
+		}
+	case near && b.lead(self) == nil && m.Digest != b.digest(true):
+		reply, full = b.rows(""), true
 	}
 	b.lock.Unlock()
-	if better != nil {
-		b.send([]string{m.From.Beats}, &Datagram{Beat: &Beat{From: row(self, 0), Rows: []*Row{better}}})
+	if reply != nil {
+		b.send([]string{m.From.Beats}, &Datagram{Beat: &Beat{From: row(self, 0), Rows: reply, Full: full, Reply: true}})
 	}
-	if !ours || b.Marked == nil {
-		return
+	if near && m.Leading && b.Marked != nil {
+		for _, r := range m.Marks {
+			b.Marked(r.Kind, r.Revision)
+		}
+	}
+}
+
+// expire takes all members for gone that were not heard directly, since a table of
+// the living follows. The caller holds the lock.
+func (b *Beater) expire(now timekeeper.Millis) {
+	for _, k := range b.members {
+		if now-k.direct >= GoneAfter || k.direct == 0 {
+			k.heard = min(k.heard, now-GoneAfter)
+			k.vouched = k.heard
+		}
 	}
-	for _, r := range m.Marks {
-		b.Marked(r.Kind, r.Revision)
+}
+
+// vouch takes the lead's word that all whom this member takes for living live. The
+// caller holds the lock.
+func (b *Beater) vouch(now timekeeper.Millis) {
+	for _, k := range b.members {
+		if k.lives(now) {
+			k.vouched = now
+		}
 	}
 }
 
-// better returns the lead of the region if it is another one than k, which takes
-// itself for the lead since it does not know of that one. The caller holds the
-// lock.
+// digest stands for the members that live and what they say of themselves. A lead
+// counts only whom it heard. The caller holds the lock.
+func (b *Beater) digest(leading bool) uint64 {
+	now := b.Clock.Now()
+	d := digestOf(b.self)
+	for _, k := range b.members {
+		if now-k.heard < GoneAfter || !leading && k.lives(now) {
+			d ^= digestOf(k.Member)
+		}
+	}
+	return uint64(d)
+}
+
+func digestOf(m Member) hasher.Hash {
+	state := hasher.Hash(m.Incarnation)
+	for _, flag := range []bool{m.Ready, m.Leaving, m.Reaching} {
+		state <<= 1
+		if flag {
+			state++
+		}
+	}
+	return hasher.Mix(hasher.OfString(m.Name), state)
+}
+
+// better returns the lead of the region if it is another one than k, which follows
+// nobody since it does not know of that one. The caller holds the lock.
 func (b *Beater) better(k *known, self Member) *Row {
 	now := b.Clock.Now()
 	lead := b.lead(self)
@@ -308,7 +399,7 @@
 func (b *Beater) forget() {
 	now := b.Clock.Now()
 	for n, k := range b.members {
-		if now-k.heard > forgetAfter {
+		if now-max(k.heard, k.vouched) > forgetAfter {
 			delete(b.members, n)
 		}
 	}
@@ -320,7 +411,7 @@
 	now := b.Clock.Now()
 	var best *known
 	for _, k := range b.members {
-		if k.Site.Region() != self.Site.Region() || now-k.heard > leadSilence {
+		if k.Site.Region() != self.Site.Region() || now-max(k.heard, k.vouched) > leadSilence {
 			continue
 		}
 		if best == nil || before(k.Member, k.order, best.Member, best.order) {
@@ -340,18 +431,14 @@
 	if x.Leaving != y.Leaving {
 		return y.Leaving
 	}
+	if x.Strength != y.Strength {
+		return x.Strength > y.Strength
+	}
 	return xo < yo
 }
 
-// targets returns where a heartbeat goes.
-func (b *Beater) targets(leading, all bool) []string {
-	region := b.self.Site.Region()
-	if leading {
-		return append(b.elsewhere(region), b.searched(region)...)
-	}
-	if all {
-		return b.region(region)
-	}
+// upward returns where the heartbeats of a member go that does not lead.
+func (b *Beater) upward(region string) []string {
 	first := b.first(region, heardBy)
 	now := b.Clock.Now()
 	for _, k := range b.members {
@@ -422,7 +509,7 @@
 	now := b.Clock.Now()
 	var l []*known
 	for _, k := range b.members {
-		if k.Site.Region() == region && now-k.heard <= GoneAfter {
+		if k.Site.Region() == region && k.lives(now) {
 			l = append(l, k)
 		}
 	}
@@ -438,10 +525,11 @@
 	return to
 }
 
-func (b *Beater) rows() (rows []*Row) {
+// rows describes the living members of a region, of all with "".
+func (b *Beater) rows(region string) (rows []*Row) {
 	now := b.Clock.Now()
 	for _, k := range b.members {
-		if now-k.heard < GoneAfter {
+		if now-k.heard < GoneAfter && (region == "" || k.Site.Region() == region) {
 			rows = append(rows, row(k.Member, now-k.heard))
 		}
 	}
@@ -508,6 +596,7 @@
 		Leaving:     m.Leaving,
 		Reaching:    m.Reaching,
 		AgeMillis:   uint32(max(age, 0)),
+		Strength:    m.Strength,
 	}
 }
 
@@ -521,5 +610,6 @@
 		Ready:       r.Ready,
 		Leaving:     r.Leaving,
 		Reaching:    r.Reaching,
+		Strength:    r.Strength,
 	}
 }
