platform, assigner: homes of keys outlive all daemons in the store

Cause: after the loss of all VMs every key got a home anew and ran without memory.

Change: the lead of a region writes its keys' homes every 4 s if they changed, 20 bytes a key; a daemon that starts reads them, at a tenth of a call's price.

Without the change TestHomesOutliveAllDaemons finds other homes.

--- a/internal/process/heartbeater/beater.go
+++ b/internal/process/heartbeater/beater.go
@@ -242,13 +242,7 @@
 	b.lock.Lock()
 	to := b.region(self.Site.Region())
 	b.lock.Unlock()
-	m := &Homes{}
-	for _, a := range list {
-		m.Keys = append(m.Keys, uint64(a.Key))
-		m.Upstreams = append(m.Upstreams, uint64(a.Upstream))
-		m.Versions = append(m.Versions, a.Version)
-	}
-	b.send(to, &Datagram{Homes: m})
+	b.send(to, &Datagram{Homes: homesOf(list)})
 }
 
 // Receive takes a datagram. One that is not understood is dropped: it may come
@@ -572,19 +566,6 @@
 	}
 }
 
-func assignments(m *Homes) []assigner.Assignment {
-	n := min(len(m.Keys), len(m.Upstreams), len(m.Versions))
-	list := make([]assigner.Assignment, n)
-	for i := range list {
-		list[i] = assigner.Assignment{
-			Key:      hasher.Hash(m.Keys[i]),
-			Upstream: hasher.Hash(m.Upstreams[i]),
-			Version:  m.Versions[i],
-		}
-	}
-	return list
-}
-
 func row(m Member, age timekeeper.Millis) *Row {
 	return &Row{
 		Name:        m.Name,
--- a/internal/request/assigner/assigner.go
+++ b/internal/request/assigner/assigner.go
@@ -11,9 +11,9 @@
 )
 
 const (
-	// MaxKeys bounds the keys that have a home. Beyond it, keys go by their
-	// hash alone.
-	MaxKeys = 50_000
+	// MaxKeys bounds the keys that have a home, so that all of them fit in one
+	// object of the store. Beyond it, keys go by their hash alone.
+	MaxKeys = 30_000
 
 	// memory is the time over which requests count as the load of a key.
 	memory = 10 * timekeeper.Second
