heartbeater, platform: leads state how fresh they are

Change: a lead's heartbeat says how long ago the store answered its watch; members rely on it for 1.5 s and ask the store themselves after that.

--- a/internal/process/heartbeater/beater.go
+++ b/internal/process/heartbeater/beater.go
@@ -28,6 +28,13 @@
 	// order takes over: three heartbeats.
 	leadSilence = 1600 * timekeeper.Millis(1)
 
+	// freshFor is how long after the store's last answer to a lead its members
+	// rely on it: a watch of 0.5 s, a round trip between regions, a heartbeat
+	// and half a second more. A leaving upstream must get no more work 2.5 s
+	// after it said so, and a member then still has to ask the store itself.
+	freshFor = 1500 * timekeeper.Millis(1)
+	maxStale = timekeeper.Hour
+
 	// forgetAfter is how long a silent member is still sent heartbeats.
 	forgetAfter = 60 * timekeeper.Second
 
@@ -88,6 +95,9 @@
 		Send  func(address string, datagram []byte)
 		// Marks returns up to which revision each kind is known here.
 		Marks func() map[string]uint64
+		// Stale returns how long ago the store answered a watch. Nil means that
+		// it just did.
+		Stale func() timekeeper.Millis
 		// Marked is told what a lead knows, Relayed what it hands on.
 		Marked  func(kind string, revision uint64)
 		Relayed func(Changes)
@@ -112,8 +122,10 @@
 		vouched timekeeper.Millis
 		// direct is when a heartbeat of its own came.
 		direct timekeeper.Millis
-		// leading is when it last said that it leads.
+		// leading is when it last said that it leads, and fresh when the store
+		// had last answered it then.
 		leading timekeeper.Millis
+		fresh   timekeeper.Millis
 	}
 )
 
@@ -157,13 +169,14 @@
 	return b.lead(self) == nil
 }
 
-// Led tells whether another member leads the region and was heard lately as such.
+// Led tells whether another member leads the region, was heard lately as such, and
+// hears of changes itself.
 func (b *Beater) Led() bool {
 	self := b.Self()
 	b.lock.Lock()
 	defer b.lock.Unlock()
 	k := b.lead(self)
-	return k != nil && k.Reaching && b.following(self)
+	return k != nil && k.Reaching && b.following(self) && b.Clock.Now()-k.fresh < freshFor
 }
 
 // following tells whether another member leads and says so. The caller holds the
@@ -203,6 +216,9 @@
 	switch {
 	case leading:
 		near.Marks = marks
+		if b.Stale != nil {
+			near.StaleMillis = uint32(min(b.Stale(), maxStale))
+		}
 		to = b.searched(self.Site.Region())
 		if all || b.round%farEvery == 0 {
 			far = &Beat{From: near.From, Leading: true, Rows: b.rows(self.Site.Region())}
@@ -277,6 +293,7 @@
 	k.direct = now
 	if m.Leading {
 		k.leading = now
+		k.fresh = now - timekeeper.Millis(m.StaleMillis)
 	}
 	if m.Full {
 		b.expire(now)
--- a/internal/process/heartbeater/beater_test.go
+++ b/internal/process/heartbeater/beater_test.go
@@ -143,6 +143,30 @@
 	is.True(n.leads("east")[0] != old)
 }
 
+// A lead that is turned away by the store may not know it yet.
+func TestLeadThatHearsNothingIsNotReliedOn(t *testing.T) {
+	is := is.New(t)
+	n := newNetwork()
+	fleet(n, 12)
+	n.rounds(12)
+	lead := n.members[n.leads("east")[0]]
+	stale := timekeeper.Millis(0)
+	lead.Stale = func() timekeeper.Millis { return stale }
+	led := func() (count int) {
+		for _, m := range n.members {
+			if m.self.Site.Region() == "east" && m.Led() {
+				count++
+			}
+		}
+		return count
+	}
+	n.rounds(1)
+	is.Equal(led(), 5)
+	stale = 1600
+	n.rounds(1)
+	is.Equal(led(), 0)
+}
+
 func TestRelayReachesTheRegion(t *testing.T) {
 	is := is.New(t)
 	n := newNetwork()
