--- /dev/null
+++ b/internal/connection/sender/send_test.go
@@ -0,0 +1,307 @@
+package sender_test
+
+import (
+	"bufio"
+	"context"
+	"errors"
+	"fmt"
+	"io"
+	"net"
+	"net/http"
+	"strings"
+	"testing"
+	"time"
+
+	"github.com/matryer/is"
+
+	"github.com/gullvale/gullvale/internal/connection/sender"
+)
+
+const echoField = "X-Id"
+
+// script is an upstream whose connections are handled by a function each.
+type script struct {
+	pool  *sender.Pool
+	heads chan string
+}
+
+// conn reads what was read together with a head first.
+type conn struct {
+	*net.TCPConn
+	reader *bufio.Reader
+}
+
+func (c conn) Read(b []byte) (int, error) { return c.reader.Read(b) }
+
+// newScript starts an upstream. Play gets the connection and a function that reads
+// the head of the next request, "" at the end.
+func newScript(t *testing.T, play func(c conn, next func() string)) *script {
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	t.Cleanup(func() { l.Close() })
+	s := &script{heads: make(chan string, 100)}
+	go s.runAccept(l, play)
+	s.pool = &sender.Pool{
+		Address: l.Addr().String(),
+		Dial: func(ctx context.Context, a string) (net.Conn, error) {
+			return new(net.Dialer).DialContext(ctx, "tcp", a)
+		},
+	}
+	return s
+}
+
+func (s *script) runAccept(l net.Listener, play func(conn, func() string)) {
+	for {
+		c, err := l.Accept()
+		if err != nil {
+			return
+		}
+		go s.runConn(c, play)
+	}
+}
+
+func (s *script) runConn(c net.Conn, play func(conn, func() string)) {
+	defer c.Close()
+	r := bufio.NewReader(c)
+	play(conn{c.(*net.TCPConn), r}, func() string {
+		var head strings.Builder
+		for {
+			line, err := r.ReadString('\n')
+			if err != nil {
+				return ""
+			}
+			head.WriteString(line)
+			if line == "\r\n" {
+				s.heads <- head.String()
+				return head.String()
+			}
+		}
+	})
+}
+
+func request(id string) *sender.Request {
+	return &sender.Request{
+		Method:      http.MethodGet,
+		Target:      "/a?b=c",
+		Host:        "h.example",
+		Header:      http.Header{echoField: {id}},
+		EchoField:   echoField,
+		Echo:        id,
+		Until:       time.Now().Add(5 * time.Second),
+		DialTimeout: 2000,
+	}
+}
+
+func answer(id, body string) string {
+	return fmt.Sprintf("HTTP/1.1 200 OK\r\n%s: %s\r\nContent-Length: %d\r\n\r\n%s", echoField, id, len(body), body)
+}
+
+// get sends a request and returns the body of its answer.
+func (s *script) get(q *sender.Request) (string, error) {
+	a, err := s.pool.Do(context.Background(), q)
+	if err != nil {
+		return "", err
+	}
+	defer a.Close()
+	b, err := io.ReadAll(a)
+	return string(b), err
+}
+
+func TestConnectionIsKept(t *testing.T) {
+	is := is.New(t)
+	s := newScript(t, func(c conn, next func() string) {
+		for i := 0; next() != ""; i++ {
+			_, _ = io.WriteString(c, answer(fmt.Sprint(i), fmt.Sprint("body ", i)))
+		}
+	})
+	for i := range 3 {
+		b, err := s.get(request(fmt.Sprint(i)))
+		is.NoErr(err)
+		is.Equal(b, fmt.Sprint("body ", i))
+	}
+	is.Equal(s.pool.Dials(), uint64(1))
+	is.Equal(<-s.heads, "GET /a?b=c HTTP/1.1\r\nHost: h.example\r\nX-Id: 0\r\n\r\n")
+}
+
+func TestAnswersAreNeverMixedUp(t *testing.T) {
+	tests := []struct {
+		name string
+		// first is sent for request 1, second for request 2.
+		first, second string
+		want          error
+		dials         uint64
+	}{
+		{"second answer to the first request", answer("1", "one") + answer("1", "again"), answer("2", "two"), nil, 2},
+		{"late answer before the next", answer("1", "one"), answer("1", "again") + answer("2", "two"), nil, 1},
+		{"answers to others only", answer("1", "one"), answer("1", "x") + answer("1", "y") + answer("1", "z"), sender.ErrMalformed, 1},
+		{"answer without an id", answer("1", "one"), "HTTP/1.1 200 OK\r\nContent-Length: 3\r\n\r\ntwo", sender.ErrMalformed, 1},
+		{"no answer in the protocol", answer("1", "one"), "rubbish\r\n\r\n", sender.ErrLost, 1},
+		{"interim answer", answer("1", "one"), "HTTP/1.1 102 Processing\r\n\r\n" + answer("2", "two"), nil, 1},
+		{"change of protocol", answer("1", "one"), "HTTP/1.1 101 Switching Protocols\r\n\r\n", sender.ErrMalformed, 1},
+		{"bytes behind the answer", answer("1", "one") + "more", answer("2", "two"), nil, 2},
+	}
+	for _, tt := range tests {
+		t.Run(tt.name, func(t *testing.T) {
+			is := is.New(t)
+			s := newScript(t, func(c conn, next func() string) {
+				for head := next(); head != ""; head = next() {
+					text := tt.first
+					if strings.Contains(head, echoField+": 2") {
+						text = tt.second
+					}
+					_, _ = io.WriteString(c, text)
+				}
+			})
+			b, err := s.get(request("1"))
+			is.NoErr(err)
+			is.Equal(b, "one")
+			b, err = s.get(request("2"))
+			if tt.want != nil {
+				is.True(errors.Is(err, tt.want))
+				return
+			}
+			is.NoErr(err)
+			is.Equal(b, "two")
+			is.True(s.pool.Dials() <= tt.dials)
+		})
+	}
+}
+
+func TestBrokenAnswersAreNotWhole(t *testing.T) {
+	tests := []struct {
+		name, text string
+		whole      bool
+	}{
+		{"length", "Content-Length: 10\r\n\r\nshort", false},
+		{"chunks", "Transfer-Encoding: chunked\r\n\r\n5\r\nshort\r\n", false},
+		{"whole chunks", "Transfer-Encoding: chunked\r\n\r\n5\r\nshort\r\n0\r\n\r\n", true},
+		{"ended by the close", "\r\nshort", true},
+	}
+	for _, tt := range tests {
+		t.Run(tt.name, func(t *testing.T) {
+			is := is.New(t)
+			s := newScript(t, func(c conn, next func() string) {
+				next()
+				_, _ = io.WriteString(c, "HTTP/1.1 200 OK\r\n"+echoField+": 1\r\n"+tt.text)
+			})
+			b, err := s.get(request("1"))
+			is.Equal(err == nil, tt.whole)
+			if tt.whole {
+				is.Equal(b, "short")
+			}
+		})
+	}
+}
+
+func TestResetIsNoEnd(t *testing.T) {
+	is := is.New(t)
+	s := newScript(t, func(c conn, next func() string) {
+		next()
+		_, _ = io.WriteString(c, "HTTP/1.1 200 OK\r\n"+echoField+": 1\r\n\r\npart")
+		_ = c.SetLinger(0)
+	})
+	_, err := s.get(request("1"))
+	is.True(err != nil)
+}
+
+func TestOutcomes(t *testing.T) {
+	is := is.New(t)
+	lost := newScript(t, func(_ conn, next func() string) { next() })
+	_, err := lost.get(request("1"))
+	is.True(errors.Is(err, sender.ErrLost))
+
+	silent := newScript(t, func(_ conn, next func() string) {
+		next()
+		next()
+	})
+	q := request("1")
+	q.Until = time.Now().Add(50 * time.Millisecond)
+	_, err = silent.get(q)
+	is.True(errors.Is(err, sender.ErrTimeout))
+
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	is.NoErr(err)
+	lost.pool.Address = l.Addr().String()
+	is.NoErr(l.Close())
+	_, err = lost.get(request("2"))
+	is.True(errors.Is(err, sender.ErrNotSent))
+
+	q = request("3")
+	q.Check = func() bool { return false }
+	_, err = silent.get(q)
+	is.True(errors.Is(err, sender.ErrWithdrawn))
+}
+
+func TestLeavingCallerEndsTheRequest(t *testing.T) {
+	is := is.New(t)
+	ended := make(chan bool)
+	s := newScript(t, func(c conn, next func() string) {
+		next()
+		// Nothing more comes before the connection ends.
+		ended <- next() == ""
+	})
+	ctx, cancel := context.WithCancel(context.Background())
+	go func() {
+		<-s.heads
+		cancel()
+	}()
+	_, err := s.pool.Do(ctx, request("1"))
+	is.True(err != nil)
+	is.True(<-ended)
+}
+
+// An upstream may answer before it has read a long body. The rest of the body is
+// not sent, and no other request goes over that connection.
+func TestEarlyAnswerToALongBody(t *testing.T) {
+	is := is.New(t)
+	s := newScript(t, func(c conn, next func() string) {
+		if next() != "" {
+			_, _ = io.WriteString(c, answer("1", "early"))
+		}
+		_, _ = io.Copy(io.Discard, c)
+	})
+	body, write := io.Pipe()
+	defer write.Close()
+	q := request("1")
+	q.Method, q.Stream, q.Length = http.MethodPost, body, 1<<20
+	b, err := s.get(q)
+	is.NoErr(err)
+	is.Equal(b, "early")
+	_ = body.Close()
+	_, err = s.get(request("1"))
+	is.NoErr(err)
+	is.Equal(s.pool.Dials(), uint64(2))
+}
+
+func TestStreamedBodies(t *testing.T) {
+	for _, length := range []int64{5, -1} {
+		t.Run(fmt.Sprint(length), func(t *testing.T) {
+			is := is.New(t)
+			s := newScript(t, func(c conn, next func() string) {
+				next()
+				b := make([]byte, 64)
+				n, _ := io.ReadAtLeast(c, b, 5)
+				got := string(b[:n])
+				for !strings.Contains(got, "hello") || length < 0 && !strings.HasSuffix(got, "0\r\n\r\n") {
+					n, err := c.Read(b)
+					if err != nil {
+						return
+					}
+					got += string(b[:n])
+				}
+				_, _ = io.WriteString(c, answer("1", got))
+			})
+			q := request("1")
+			q.Method, q.Stream, q.Length = http.MethodPost, strings.NewReader("hello"), length
+			b, err := s.get(q)
+			is.NoErr(err)
+			want := "hello"
+			if length < 0 {
+				want = "5\r\nhello\r\n0\r\n\r\n"
+			}
+			is.Equal(b, want)
+		})
+	}
+}
--- /dev/null
+++ b/internal/request/dispatcher/dispatcher_test.go
@@ -0,0 +1,282 @@
+package dispatcher_test
+
+import (
+	"context"
+	"fmt"
+	"io"
+	"net"
+	"net/http"
+	"net/http/httptest"
+	"strings"
+	"sync"
+	"sync/atomic"
+	"testing"
+
+	"github.com/matryer/is"
+
+	"github.com/gullvale/gullvale/internal/connection/tracker"
+	"github.com/gullvale/gullvale/internal/process/measurer"
+	"github.com/gullvale/gullvale/internal/request/dispatcher"
+	"github.com/gullvale/gullvale/internal/version/cataloger"
+	"github.com/gullvale/gullvale/internal/version/matcher"
+	"github.com/gullvale/gullvale/pkg/timekeeper"
+)
+
+var fields = dispatcher.Fields{
+	RequestID: "X-Id", Deadline: "X-Deadline", Key: "X-Key", Expected: "X-Expected",
+	NotRun: "X-Not-Run", Proof: "X-Proof", Load: "X-Load",
+}
+
+// site is a dispatcher with upstreams that do as they are told.
+type site struct {
+	*dispatcher.Dispatcher
+	catalog cataloger.Catalog
+	front   *httptest.Server
+	burst   float64
+
+	lock sync.Mutex
+	runs map[string]int
+}
+
+func newSite(t *testing.T, kind matcher.Kind) *site {
+	s := &site{runs: map[string]int{}, burst: 100}
+	config, err := matcher.New(1, matcher.Limits{BodyBytes: 1 << 20}, []matcher.Route{{
+		Name: "r", Host: "h.example", Prefix: "/", Kind: kind, Timeout: 2000, Attempts: 2, Sticky: true,
+		Parts: []matcher.Part{{Service: "s", Weight: 1}},
+	}}, []matcher.Service{{Name: "s"}})
+	if err != nil {
+		t.Fatal(err)
+	}
+	s.Dispatcher = &dispatcher.Dispatcher{
+		Config:  func() *matcher.Config { return config },
+		Catalog: s.catalog.Current,
+		Upstreams: &tracker.Set{Dial: func(ctx context.Context, a string) (net.Conn, error) {
+			return new(net.Dialer).DialContext(ctx, "tcp", a)
+		}},
+		Fields: fields,
+		Retries: &dispatcher.Retries{Limits: func() dispatcher.RetryLimits {
+			return dispatcher.RetryLimits{Ratio: 0.2, Burst: s.burst, Window: 10_000}
+		}},
+		Meter: measurer.New(),
+	}
+	s.front = httptest.NewServer(s.Dispatcher)
+	t.Cleanup(s.front.Close)
+	return s
+}
+
+// add starts an upstream.
+func (s *site) add(t *testing.T, id string, serve http.HandlerFunc) {
+	l := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		w.Header().Set(fields.RequestID, r.Header.Get(fields.RequestID))
+		s.lock.Lock()
+		s.runs[r.Header.Get(fields.RequestID)]++
+		s.lock.Unlock()
+		serve(w, r)
+	}))
+	t.Cleanup(l.Close)
+	s.catalog.Put(cataloger.Upstream{ID: cataloger.UpstreamID(id), Service: "s", Address: l.Listener.Addr().String(), Site: "east/a", Slots: 4})
+}
+
+func (s *site) ask(method, id string, change func(*http.Request)) (*http.Response, string) {
+	q, _ := http.NewRequest(method, s.front.URL+"/x?y=z", strings.NewReader("body"))
+	q.Host = "h.example"
+	q.Header.Set(fields.RequestID, id)
+	q.Header.Set(fields.Key, "k")
+	if change != nil {
+		change(q)
+	}
+	p, err := http.DefaultClient.Do(q)
+	if err != nil {
+		return nil, err.Error()
+	}
+	defer p.Body.Close()
+	b, err := io.ReadAll(p.Body)
+	if err != nil {
+		return p, "broken"
+	}
+	return p, string(b)
+}
+
+func (s *site) ran(id string) int {
+	s.lock.Lock()
+	defer s.lock.Unlock()
+	return s.runs[id]
+}
+
+func good(w http.ResponseWriter, _ *http.Request) {
+	w.Header().Set(fields.Proof, "p")
+	_, _ = io.WriteString(w, "good")
+}
+
+func sheds(w http.ResponseWriter, _ *http.Request) {
+	w.Header().Set(fields.NotRun, "1")
+	w.WriteHeader(http.StatusServiceUnavailable)
+}
+
+func breaks(http.ResponseWriter, *http.Request) { panic(http.ErrAbortHandler) }
+
+func fails(w http.ResponseWriter, _ *http.Request) {
+	w.Header().Set(fields.Proof, "p")
+	w.WriteHeader(http.StatusInternalServerError)
+}
+
+func cuts(w http.ResponseWriter, _ *http.Request) {
+	w.Header().Set(fields.Proof, "p")
+	w.Header().Set("Content-Length", "100")
+	_, _ = io.WriteString(w, "part")
+}
+
+func forges(w http.ResponseWriter, _ *http.Request) { _, _ = io.WriteString(w, "no proof") }
+
+// firstOf serves the first request in one way and all others in another.
+func firstOf(first, others http.HandlerFunc) http.HandlerFunc {
+	var n atomic.Int64
+	return func(w http.ResponseWriter, r *http.Request) {
+		if n.Add(1) == 1 {
+			first(w, r)
+			return
+		}
+		others(w, r)
+	}
+}
+
+func TestOutcomes(t *testing.T) {
+	tests := []struct {
+		name   string
+		kind   matcher.Kind
+		first  http.HandlerFunc
+		status int
+		sent   int
+	}{
+		{"good", matcher.Once, good, 200, 1},
+		{"once: refused by the first", matcher.Once, sheds, 200, 2},
+		{"once: lost", matcher.Once, breaks, 502, 1},
+		{"once: cut", matcher.Once, cuts, 502, 1},
+		{"once: failed", matcher.Once, fails, 500, 1},
+		{"once: forged", matcher.Once, forges, 502, 1},
+		{"idempotent: refused by the first", matcher.Idempotent, sheds, 200, 2},
+		{"idempotent: lost", matcher.Idempotent, breaks, 200, 2},
+		{"idempotent: cut", matcher.Idempotent, cuts, 200, 2},
+		{"idempotent: failed", matcher.Idempotent, fails, 200, 2},
+		{"idempotent: forged", matcher.Download, forges, 200, 2},
+	}
+	for _, tt := range tests {
+		t.Run(tt.name, func(t *testing.T) {
+			is := is.New(t)
+			s := newSite(t, tt.kind)
+			// Whichever of the two is asked first does as the test says.
+			serve := firstOf(tt.first, good)
+			s.add(t, "u1", serve)
+			s.add(t, "u2", serve)
+			p, _ := s.ask(http.MethodPost, "id", nil)
+			is.Equal(p.StatusCode, tt.status)
+			is.Equal(s.ran("id"), tt.sent)
+		})
+	}
+}
+
+func TestRefusalIsTrue(t *testing.T) {
+	is := is.New(t)
+	s := newSite(t, matcher.Once)
+	p, _ := s.ask(http.MethodPost, "none", nil)
+	is.Equal(p.StatusCode, http.StatusServiceUnavailable)
+	is.True(p.Header.Get("Retry-After") != "")
+	s.add(t, "u1", sheds)
+	s.add(t, "u2", sheds)
+	p, _ = s.ask(http.MethodPost, "shed", nil)
+	is.Equal(p.StatusCode, http.StatusServiceUnavailable)
+	is.Equal(s.ran("shed"), 2) // most attempts
+}
+
+func TestRetryBudget(t *testing.T) {
+	is := is.New(t)
+	s := newSite(t, matcher.Idempotent)
+	s.burst = 3
+	s.add(t, "u1", sheds)
+	s.add(t, "u2", sheds)
+	sent := 0
+	for i := range 20 {
+		id := fmt.Sprint(i)
+		s.ask(http.MethodGet, id, nil)
+		sent += s.ran(id)
+	}
+	is.True(sent <= 20+3+4) // 20 firsts, the burst, a fifth of the requests
+}
+
+func TestWhatUpstreamsGet(t *testing.T) {
+	is := is.New(t)
+	s := newSite(t, matcher.Once)
+	var got *http.Request
+	var body string
+	s.add(t, "u1", func(w http.ResponseWriter, r *http.Request) {
+		b, _ := io.ReadAll(r.Body)
+		got, body = r, string(b)
+		good(w, r)
+	})
+	p, text := s.ask(http.MethodPost, "id", func(q *http.Request) {
+		q.Header.Set(fields.Deadline, "1000")
+		q.Header.Set(fields.Expected, "forged")
+		q.Header.Set(fields.NotRun, "forged")
+		q.Header.Set("Connection", "X-Hop, X-Id")
+		q.Header.Set("X-Hop", "hop")
+		q.Header.Set("X-Kept", "kept")
+	})
+	is.Equal(p.StatusCode, http.StatusOK)
+	is.Equal(text, "good")
+	is.Equal(p.Header.Get(fields.Proof), "p")
+	is.Equal(got.RequestURI, "/x?y=z")
+	is.Equal(got.Host, "h.example")
+	is.Equal(body, "body")
+	is.Equal(got.Header.Get(fields.RequestID), "id")
+	is.Equal(got.Header.Get(fields.Expected), "u1")
+	is.Equal(got.Header.Get(fields.NotRun), "")
+	is.Equal(got.Header.Get("X-Hop"), "")
+	is.Equal(got.Header.Get("X-Kept"), "kept")
+	var left int
+	_, err := fmt.Sscan(got.Header.Get(fields.Deadline), &left)
+	is.NoErr(err)
+	is.True(left > 0 && left <= 1000)
+}
+
+func TestBadRequests(t *testing.T) {
+	is := is.New(t)
+	s := newSite(t, matcher.Once)
+	s.add(t, "u1", good)
+	p, _ := s.ask(http.MethodPost, "id", func(q *http.Request) { q.Host = "other.example" })
+	is.Equal(p.StatusCode, http.StatusNotFound)
+	p, _ = s.ask(http.MethodPost, "id", func(q *http.Request) { q.Header.Set(fields.Deadline, "soon") })
+	is.Equal(p.StatusCode, http.StatusBadRequest)
+	p, _ = s.ask(http.MethodPost, "id", func(q *http.Request) {
+		q.Body, q.ContentLength = io.NopCloser(strings.NewReader("")), 2<<20
+	})
+	is.True(p == nil || p.StatusCode == http.StatusRequestEntityTooLarge)
+	is.Equal(s.ran("id"), 0)
+}
+
+func TestLongAnswerThatBreaksLooksBroken(t *testing.T) {
+	is := is.New(t)
+	s := newSite(t, matcher.Once)
+	s.add(t, "u1", func(w http.ResponseWriter, _ *http.Request) {
+		w.Header().Set(fields.Proof, "p")
+		w.Header().Set("Content-Length", fmt.Sprint(1<<20))
+		_, _ = w.Write(make([]byte, 1<<19))
+	})
+	_, text := s.ask(http.MethodPost, "id", nil)
+	is.Equal(text, "broken")
+}
+
+func TestStoppingEntryTakesNothingThatItCannotFinish(t *testing.T) {
+	is := is.New(t)
+	s := newSite(t, matcher.Once)
+	s.add(t, "u1", good)
+	end := timekeeper.Millis(0)
+	s.LeavingAt = func() timekeeper.Millis { return end }
+	end = s.Clock.Now() + 10_000
+	p, _ := s.ask(http.MethodPost, "early", nil)
+	is.Equal(p.StatusCode, http.StatusOK)
+	is.True(p.Close) // the caller is told to go elsewhere
+	end = s.Clock.Now() + 1000
+	p, _ = s.ask(http.MethodPost, "late", nil)
+	is.Equal(p.StatusCode, http.StatusServiceUnavailable)
+	is.Equal(s.ran("late"), 0)
+}
