--- a/internal/connection/sender/send_test.go
+++ b/internal/connection/sender/send_test.go
@@ -237,7 +237,7 @@
 func TestLeavingCallerEndsTheRequest(t *testing.T) {
 	is := is.New(t)
 	ended := make(chan bool)
-	s := newScript(t, func(c conn, next func() string) {
+	s := newScript(t, func(_ conn, next func() string) {
 		next()
 		// Nothing more comes before the connection ends.
 		ended <- next() == ""
--- a/internal/process/heartbeater/beater.go
+++ b/internal/process/heartbeater/beater.go
@@ -101,6 +101,9 @@
 		// Marked is told what a lead knows, Relayed what it hands on.
 		Marked  func(kind string, revision uint64)
 		Relayed func(Changes)
+		// Missed returns what this member knows of the changes of a kind after
+		// a revision, in order and without a gap, nothing if it does not know.
+		Missed func(kind string, from uint64) []Changes
 		// Homed is told of the homes of keys that another member announced.
 		Homed func([]assigner.Assignment)
 		Clock timekeeper.Clock
@@ -245,11 +248,37 @@
 	}
 	to := b.region(self.Site.Region())
 	b.lock.Unlock()
-	m := &Relay{Kind: c.Kind, From: c.From, To: c.To, Changes: c.Body}
+	b.send(to, &Datagram{Relay: relayOf(c)})
+}
+
+// Ask asks the lead of the region for what was missed, and tells whether there is
+// one.
+func (b *Beater) Ask(kind string, from uint64) bool {
+	self := b.Self()
+	b.lock.Lock()
+	lead := b.lead(self)
+	b.lock.Unlock()
+	if lead == nil {
+		return false
+	}
+	b.send([]string{lead.Beats}, &Datagram{Ask: &Ask{Kind: kind, From: from, Beats: self.Beats}})
+	return true
+}
+
+func (b *Beater) asked(m *Ask) {
+	if b.Missed == nil {
+		return
+	}
+	for _, c := range b.Missed(m.Kind, m.From) {
+		b.send([]string{m.Beats}, &Datagram{Relay: relayOf(c)})
+	}
+}
+
+func relayOf(c Changes) *Relay {
 	if len(c.Body) > maxRelayBytes {
-		m.Changes, m.Omitted = nil, true
+		return &Relay{Kind: c.Kind, From: c.From, To: c.To, Omitted: true}
 	}
-	b.send(to, &Datagram{Relay: m})
+	return &Relay{Kind: c.Kind, From: c.From, To: c.To, Changes: c.Body}
 }
 
 // Announce tells the other members of the region where keys live.
@@ -271,6 +300,9 @@
 	if d.Beat != nil && d.Beat.From != nil {
 		b.beaten(d.Beat)
 	}
+	if d.Ask != nil {
+		b.asked(d.Ask)
+	}
 	if h := d.Homes; h != nil && b.Homed != nil {
 		b.Homed(assignments(h))
 	}
--- a/internal/process/heartbeater/beater_test.go
+++ b/internal/process/heartbeater/beater_test.go
@@ -186,6 +186,25 @@
 	}
 }
 
+// A member asks the lead for what it missed before it asks the store.
+func TestMissedChangesComeFromTheLead(t *testing.T) {
+	is := is.New(t)
+	n := newNetwork()
+	fleet(n, 12)
+	n.rounds(12)
+	lead := n.members[n.leads("east")[0]]
+	lead.Missed = func(kind string, from uint64) []heartbeater.Changes {
+		return []heartbeater.Changes{{Kind: kind, From: from, To: from + 1}, {Kind: kind, From: from + 1, To: from + 4}}
+	}
+	is.True(!lead.Ask("k", 3)) // it has nobody to ask
+	for _, m := range n.members {
+		if m.self.Site.Region() == "east" && m != lead {
+			is.True(m.Ask("k", 7))
+			is.Equal(m.relayed, []heartbeater.Changes{{Kind: "k", From: 7, To: 8}, {Kind: "k", From: 8, To: 11}})
+		}
+	}
+}
+
 func TestDatagramsThatAreNoneAreDropped(t *testing.T) {
 	is := is.New(t)
 	n := newNetwork()
