--- a/internal/connection/sender/send.go
+++ b/internal/connection/sender/send.go
@@ -8,6 +8,7 @@
 	"net/http/httputil"
 	"os"
 	"strconv"
+	"syscall"
 	"time"
 
 	"github.com/rotisserie/eris"
@@ -34,6 +35,8 @@
 	ErrLost = eris.New("connection lost after the request was sent")
 	// ErrTimeout means that the request was sent and its time is over.
 	ErrTimeout = eris.New("no answer in time")
+	// ErrSilent is an ErrLost whose other end acknowledged nothing any more.
+	ErrSilent = eris.New("upstream went silent")
 	// ErrMalformed means that what came back is no answer.
 	ErrMalformed = eris.New("malformed answer")
 	// ErrBody means that the caller did not send the whole body.
@@ -287,6 +290,8 @@
 		return eris.Wrap(ErrTimeout, "upstream")
 	case errors.Is(err, ErrMalformed), errors.Is(err, ErrBody):
 		return err
+	case errors.Is(err, syscall.ETIMEDOUT):
+		return eris.Wrapf(ErrSilent, "%v", err)
 	}
 	return eris.Wrapf(ErrLost, "%v", err)
 }
--- a/internal/connection/sender/send_test.go
+++ b/internal/connection/sender/send_test.go
@@ -9,6 +9,7 @@
 	"net"
 	"net/http"
 	"strings"
+	"syscall"
 	"testing"
 	"time"
 
@@ -234,6 +235,23 @@
 	is.True(errors.Is(err, sender.ErrWithdrawn))
 }
 
+// silentConn is a connection whose other end acknowledged nothing in time.
+type silentConn struct{ net.Conn }
+
+func (silentConn) Read([]byte) (int, error) { return 0, &net.OpError{Op: "read", Err: syscall.ETIMEDOUT} }
+
+func TestSilentUpstreamIsToldFromASlowOne(t *testing.T) {
+	is := is.New(t)
+	s := newScript(t, func(_ conn, next func() string) { next() })
+	dial := s.pool.Dial
+	s.pool.Dial = func(ctx context.Context, a string) (net.Conn, error) {
+		c, err := dial(ctx, a)
+		return silentConn{c}, err
+	}
+	_, err := s.get(request("1"))
+	is.True(errors.Is(err, sender.ErrSilent))
+}
+
 func TestLeavingCallerEndsTheRequest(t *testing.T) {
 	is := is.New(t)
 	ended := make(chan bool)
--- a/internal/process/fronter/limit.go
+++ b/internal/process/fronter/limit.go
@@ -14,8 +14,9 @@
 	placeholderFrom = time.Hour
 
 	// unackedLimit is how long sent bytes may stay unacknowledged before the
-	// other end counts as gone. A few retransmissions fit in.
-	unackedLimit = 1500 * time.Millisecond
+	// other end counts as gone: two retransmissions fit in between distant
+	// regions, and half of a request's time is left for another upstream.
+	unackedLimit = 700 * time.Millisecond
 
 	// tcpUserTimeout is the number of the socket option of that name, which
 	// package syscall lacks.
--- a/internal/request/dispatcher/exchange.go
+++ b/internal/request/dispatcher/exchange.go
@@ -370,6 +370,9 @@
 	switch {
 	case errors.Is(err, sender.ErrTimeout):
 		x.decision.Reason = "no answer in time"
+	case errors.Is(err, sender.ErrSilent):
+		t.Unreached()
+		x.decision.Reason = "upstream silent"
 	case errors.Is(err, sender.ErrMalformed):
 		x.decision.Reason = "malformed answer"
 	default:
