--- a/internal/connection/sender/send_test.go
+++ b/internal/connection/sender/send_test.go
@@ -238,7 +238,9 @@
 // silentConn is a connection whose other end acknowledged nothing in time.
 type silentConn struct{ net.Conn }
 
-func (silentConn) Read([]byte) (int, error) { return 0, &net.OpError{Op: "read", Err: syscall.ETIMEDOUT} }
+func (silentConn) Read([]byte) (int, error) {
+	return 0, &net.OpError{Op: "read", Err: syscall.ETIMEDOUT}
+}
 
 func TestSilentUpstreamIsToldFromASlowOne(t *testing.T) {
 	is := is.New(t)
