placer, dispatcher: a key waits at its home or moves, and does not visit

All upstreams were equally full with keys that they did not know: each request that found its home full ran at another upstream at three times the work and pushed a key out of its memory. Ruled out: a region short of room (same load everywhere).

Change: ChooseHomed refuses at a full home unless the key may move to an upstream with little to do.

--- a/internal/request/assigner/assigner_test.go
+++ b/internal/request/assigner/assigner_test.go
@@ -1,7 +1,9 @@
 package assigner_test
 
 import (
+	"cmp"
 	"fmt"
+	"slices"
 	"testing"
 
 	"github.com/matryer/is"
@@ -35,7 +37,9 @@
 			})
 		}
 	}
-	return &world{all: c.Current().Of("s")}
+	all := c.Current().Of("s")
+	slices.SortFunc(all, func(x, y *cataloger.Upstream) int { return cmp.Compare(x.ID, y.ID) })
+	return &world{all: all}
 }
 
 func (w *world) clock() timekeeper.Clock {
--- a/internal/request/dispatcher/exchange.go
+++ b/internal/request/dispatcher/exchange.go
@@ -218,17 +218,27 @@
 	for i, u := range list {
 		states[i] = x.state(u)
 	}
-	i, verdict := placer.Choose(states[:len(list)], x.urgent())
+	i, verdict := x.pick(list, states[:len(list)])
 	if i < 0 {
 		return nil, verdict
 	}
 	x.decision.Load, x.decision.Own = states[i].Reported, states[i].Own
-	if i > 0 && (verdict == placer.Line || verdict == placer.Own) && x.homed() {
-		x.d.Homes.Move(x.key, list[i])
-	}
 	return list[i], placer.Fit
 }
 
+// pick chooses among the candidates, and moves the key if that is the choice. Only a
+// few keys may move in a second.
+func (x *exchange) pick(list []*cataloger.Upstream, states []placer.State) (int, placer.Verdict) {
+	if !x.homed() {
+		return placer.Choose(states, x.urgent())
+	}
+	i, verdict, move := placer.ChooseHomed(states, x.urgent())
+	if move && !x.d.Homes.Move(x.key, list[i]) {
+		return -1, verdict
+	}
+	return i, verdict
+}
+
 // candidates returns the home of the request's key, and the upstreams that its
 // hash prefers.
 func (x *exchange) candidates(l []*cataloger.Upstream, all []*cataloger.Upstream) []*cataloger.Upstream {
--- a/internal/request/placer/place.go
+++ b/internal/request/placer/place.go
@@ -20,6 +20,10 @@
 	// trials gave -0.03 at 1, 0.09 at 1.5 and 0.72 at 2.5.
 	lineShare = 2.5
 
+	// idleShare is how many requests an upstream may have at most for a key to
+	// move there from a full one, in parts of its slots.
+	idleShare = 0.5
+
 	// laterShare is lineShare for requests that are not the most urgent of
 	// their service, so that the urgent ones find room when slots are short.
 	laterShare = 2.0
@@ -62,6 +66,17 @@
 	}
 )
 
+// full tells that an upstream was passed over since it has too much to do.
+func (v Verdict) full() bool {
+	return v == Line || v == Own
+}
+
+// idle tells whether an upstream has room for a key that it does not know, whose
+// requests take several times as long at first.
+func (s State) idle() bool {
+	return s.Reported < idleShare*float64(max(s.Slots, 1))
+}
+
 // List appends to l the upstreams that a key prefers, best first: the rendezvous
 // order of those that allowed takes. An upstream that comes or goes moves only
 // its own keys.
@@ -123,6 +138,23 @@
 	return Fit
 }
 
+// ChooseHomed chooses for a key whose home is the first state. While the home has too
+// much to do, the key either moves, to an upstream that has little to do, or waits:
+// its request is refused. A key that only visits another upstream pushes the keys of
+// that one out of its memory; with a third of the upstreams lost, that kept all of
+// them at the full work of keys that they do not know, long after the loss, where
+// waiting keys were back at a tenth of it after some seconds.
+func ChooseHomed(states []State, urgent bool) (i int, first Verdict, move bool) {
+	i, first = Choose(states, urgent)
+	if i <= 0 || !first.full() {
+		return i, first, false
+	}
+	if states[i].idle() {
+		return i, first, true
+	}
+	return -1, first, false
+}
+
 // Choose returns the first state that takes a request, or -1, and why the first
 // one of all was passed over. A failing upstream is taken where no other is left: if all of them
 // refuse half of what they get, every second request is still served.
--- a/internal/request/placer/place_test.go
+++ b/internal/request/placer/place_test.go
@@ -88,3 +88,28 @@
 		})
 	}
 }
+
+func TestChooseHomed(t *testing.T) {
+	free, busy, full := placer.State{Slots: 6}, placer.State{Slots: 6, Reported: 4}, placer.State{Slots: 6, Reported: 16}
+	tests := []struct {
+		name   string
+		states []placer.State
+		want   int
+		move   bool
+	}{
+		{"home", []placer.State{free, free}, 0, false},
+		{"full home, idle other", []placer.State{full, free}, 1, true},
+		{"full home, busy other", []placer.State{full, busy}, -1, false},
+		{"full home, full other, idle third", []placer.State{full, full, free}, 2, true},
+		{"home down", []placer.State{{Slots: 6, Down: true}, busy}, 1, false},
+		{"all full", []placer.State{full, full}, -1, false},
+	}
+	for _, tt := range tests {
+		t.Run(tt.name, func(t *testing.T) {
+			is := is.New(t)
+			i, _, move := placer.ChooseHomed(tt.states, true)
+			is.Equal(i, tt.want)
+			is.Equal(move, tt.move)
+		})
+	}
+}
