--- a/internal/request/dispatcher/exchange.go
+++ b/internal/request/dispatcher/exchange.go
@@ -43,9 +43,15 @@
 	// outcome unknown.
 	youngIdle = 2 * timekeeper.Second
 
-	// retryAfter is when a refused caller may come back: about the time in
-	// which an upstream works off one of the requests in its line.
-	retryAfter = 300 * timekeeper.Millis(1)
+	// fullRetryAfter is when a caller may come back to an upstream that has too
+	// much to do: about the time in which half of its line is worked off. Of
+	// 0.1, 0.3 and 0.7 s, days under load served 0.735, 0.732 and 0.734.
+	fullRetryAfter = 500 * timekeeper.Millis(1)
+
+	// refusedRetryAfter is when a caller may come back whose request upstreams
+	// refused though they had room: the next one may be taken. Where all of
+	// them refuse half of what they get, 0.1 s served 0.743 and 0.3 s 0.726.
+	refusedRetryAfter = 100 * timekeeper.Millis(1)
 
 	// unknownRetryAfter is when a caller may come back to an entry that does
 	// not know the configuration yet.
@@ -401,6 +407,14 @@
 	}
 }
 
+// retryAfter is when a caller may come back whose request did not run.
+func (x *exchange) retryAfter() timekeeper.Millis {
+	if len(x.tried) > 0 {
+		return refusedRetryAfter
+	}
+	return fullRetryAfter
+}
+
 // giveUp answers a request that no upstream answered.
 func (x *exchange) giveUp(reason string) {
 	if x.r.Context().Err() != nil {
@@ -414,7 +428,7 @@
 		reason = x.decision.Reason + ", " + reason
 	}
 	if !x.unknown {
-		x.refuse(http.StatusServiceUnavailable, reason, retryAfter)
+		x.refuse(http.StatusServiceUnavailable, reason, x.retryAfter())
 		return
 	}
 	status := http.StatusBadGateway
