director: strong entries stand in more answers

Change: an entry stands in as many callers' answers as its VM is strong beside the strongest, at least three in each, the same for a caller each time.

--- /dev/null
+++ b/internal/process/director/choose_test.go
@@ -0,0 +1,72 @@
+package director_test
+
+import (
+	"fmt"
+	"testing"
+
+	"github.com/matryer/is"
+
+	"github.com/gullvale/gullvale/internal/process/director"
+	"github.com/gullvale/gullvale/internal/process/heartbeater"
+	"github.com/gullvale/gullvale/pkg/registrar"
+)
+
+func member(name, site string, strength uint32, ready bool) heartbeater.Member {
+	return heartbeater.Member{Name: name, Front: name, Site: registrar.Site(site), Strength: strength, Ready: ready}
+}
+
+func TestNearestReady(t *testing.T) {
+	is := is.New(t)
+	all := []heartbeater.Member{
+		member("a", "east/a", 320, true), member("b", "east/b", 320, false), member("c", "east/b", 320, true),
+		member("d", "west/a", 320, true),
+	}
+	is.Equal(director.Choose(all, "east", "x"), []string{"a", "c"})
+	is.Equal(director.Choose(all, "west", "x"), []string{"d"})
+	is.Equal(len(director.Choose(all, "north", "x")), 3)
+	for i := range all {
+		all[i].Ready = false
+	}
+	all[0].Leaving = true
+	is.Equal(director.Choose(all, "east", "x"), []string{"b", "c", "d"})
+	is.Equal(len(director.Choose(nil, "east", "x")), 0)
+}
+
+// Two strong VMs and nine that carry a twentieth of each: the strong ones get most
+// callers, and no caller is left with less than three entries.
+func TestStrongEntriesGetMore(t *testing.T) {
+	is := is.New(t)
+	var all []heartbeater.Member
+	for i := range 11 {
+		strength := uint32(40)
+		if i < 2 {
+			strength = 800
+		}
+		all = append(all, member(fmt.Sprint("m", i), "east/a", strength, true))
+	}
+	strong, weak := 0.0, 0.0
+	for c := range 1000 {
+		caller := fmt.Sprint("caller", c)
+		list := director.Choose(all, "east", caller)
+		is.Equal(list, director.Choose(all, "east", caller)) // the same each time
+		is.True(len(list) >= 3)
+		for _, a := range list {
+			if a == "m0" || a == "m1" {
+				strong += 1 / float64(len(list))
+			} else {
+				weak += 1 / float64(len(list))
+			}
+		}
+	}
+	is.True(strong > 550)
+	is.True(weak > 100)
+}
+
+func TestEqualEntriesAreAllNamed(t *testing.T) {
+	is := is.New(t)
+	var all []heartbeater.Member
+	for i := range 100 {
+		all = append(all, member(fmt.Sprint("m", i), "east/a", 320, true))
+	}
+	is.Equal(len(director.Choose(all, "east", "x")), director.MaxEntries)
+}
