heartbeater, dispatcher, platform: files for one concept each

Change: who leads, who gets a heartbeat, members, relays and the wire stand in files of their own; so do choosing and sending of a request, and the taking in of changes and the reach of the store. No code is changed.

--- /dev/null
+++ b/internal/request/dispatcher/choose.go
@@ -0,0 +1,82 @@
+package dispatcher
+
+import (
+	"github.com/gullvale/gullvale/internal/request/placer"
+	"github.com/gullvale/gullvale/internal/version/cataloger"
+)
+
+// choose picks the upstream of the next sending.
+func (x *exchange) choose() (*cataloger.Upstream, placer.Verdict) {
+	if !x.resolve() {
+		return nil, placer.Gone
+	}
+	s := x.d.Catalog()
+	x.decision.Catalog = s.Change
+	var space [placer.ListLength]*cataloger.Upstream
+	list := x.candidates(space[:0], s.Of(x.part))
+	var states [placer.ListLength]placer.State
+	for i, u := range list {
+		states[i] = x.state(u)
+	}
+	i, verdict := x.pick(list, states[:len(list)])
+	if i < 0 {
+		return nil, verdict
+	}
+	x.decision.Load, x.decision.Own = states[i].Reported, states[i].Own
+	return list[i], placer.Fit
+}
+
+// pick chooses among the candidates, and moves the key if that is the choice. Only a
+// few keys may move in a second.
+func (x *exchange) pick(list []*cataloger.Upstream, states []placer.State) (int, placer.Verdict) {
+	if !x.homed() {
+		return placer.Choose(states, x.urgent())
+	}
+	i, verdict, move := placer.ChooseHomed(states, x.urgent())
+	if move && !x.d.Homes.Move(x.key, list[i]) {
+		return -1, verdict
+	}
+	return i, verdict
+}
+
+// candidates returns the home of the request's key, and the upstreams that its
+// hash prefers.
+func (x *exchange) candidates(l []*cataloger.Upstream, all []*cataloger.Upstream) []*cataloger.Upstream {
+	if !x.homed() {
+		return placer.List(l, x.key, all, x.route.Allows)
+	}
+	home := x.d.Homes.Home(x.key, all, x.route.Allows)
+	if home == nil {
+		return l
+	}
+	l = append(l, home)
+	var space [placer.ListLength]*cataloger.Upstream
+	for _, u := range placer.List(space[:0], x.key, all, x.route.Allows) {
+		if u != home && len(l) < placer.ListLength {
+			l = append(l, u)
+		}
+	}
+	return l
+}
+
+// homed tells whether the request's key has a home that is worth keeping to.
+func (x *exchange) homed() bool {
+	return x.d.Homes != nil && x.route.Sticky && x.decision.Key != ""
+}
+
+func (x *exchange) state(u *cataloger.Upstream) placer.State {
+	t := x.d.Upstreams.Of(u)
+	s := t.State(u)
+	for _, id := range x.tried {
+		s.Tried = s.Tried || id == u.ID
+	}
+	if !s.Tried && u.Cold(x.d.Clock.Now()) {
+		s.Cold = x.d.AllowCold == nil || !x.d.AllowCold(u, t)
+	}
+	return s
+}
+
+// urgent tells whether no request of the configuration goes before this one.
+func (x *exchange) urgent() bool {
+	return x.route.Rank <= x.config.Urgent(x.part)
+}
--- /dev/null
+++ b/internal/request/dispatcher/send.go
@@ -0,0 +1,131 @@
+package dispatcher
+
+import (
+	"errors"
+	"strconv"
+	"time"
+
+	"github.com/gullvale/gullvale/internal/connection/sender"
+	"github.com/gullvale/gullvale/internal/connection/tracker"
+	"github.com/gullvale/gullvale/internal/version/cataloger"
+)
+
+// mayRepeat says why the request is not sent once more, "" if it may be.
+func (x *exchange) mayRepeat() string {
+	switch {
+	case x.r.Context().Err() != nil:
+		return "caller left"
+	case x.until-x.d.Clock.Now() < leastTime:
+		return "no time left"
+	case len(x.tried) == 0:
+		return ""
+	case x.unknown && !x.route.Kind.Repeatable():
+		return "may have run"
+	case x.stream != nil:
+		return "body sent"
+	case len(x.tried) >= x.route.Attempts:
+		return "attempts used up"
+	case !x.d.Retries.Take(x.part):
+		return "retry budget used up"
+	}
+	return ""
+}
+
+// send sends the request to u and reports whether it is answered.
+func (x *exchange) send(u *cataloger.Upstream) bool {
+	t := x.d.Upstreams.Of(u)
+	t.Begin()
+	defer t.End()
+	x.decision.Upstream = u.ID
+	a, err := t.Pool.Do(x.r.Context(), x.request(u))
+	switch {
+	case errors.Is(err, sender.ErrWithdrawn):
+		return false
+	case errors.Is(err, sender.ErrNotSent):
+		x.notSent(t)
+		return false
+	}
+	x.tried = append(x.tried, u.ID)
+	if err != nil {
+		return x.lost(t, err)
+	}
+	defer a.Close()
+	x.note(t, a)
+	return x.answer(t, a)
+}
+
+// notSent notes that a request did not reach its upstream.
+func (x *exchange) notSent(t *tracker.Upstream) {
+	x.decision.Reason = "upstream not reached"
+	if x.r.Context().Err() != nil {
+		return
+	}
+	t.Unreached()
+	x.d.Meter.Count("upstream_unreached", x.labels(""))
+}
+
+func (x *exchange) request(u *cataloger.Upstream) *sender.Request {
+	now := x.d.Clock.Now()
+	h := x.header
+	h[x.d.Fields.Deadline] = []string{strconv.FormatInt(int64(max(x.until-now, 1)), 10)}
+	h[x.d.Fields.Expected] = []string{string(u.ID)}
+	q := &sender.Request{
+		Method:      x.r.Method,
+		Target:      x.r.RequestURI,
+		Host:        x.r.Host,
+		Header:      h,
+		Short:       x.short,
+		Stream:      x.stream,
+		Length:      x.length,
+		EchoField:   x.d.Fields.RequestID,
+		Echo:        x.r.Header.Get(x.d.Fields.RequestID),
+		Until:       time.Now().Add((x.until - now).Duration()),
+		DialTimeout: min(dialTimeout, max(x.until-now, 1)),
+		Check:       func() bool { return x.mayStillGo(u) },
+	}
+	if !x.route.Kind.Repeatable() {
+		q.Young = youngIdle
+	}
+	return q
+}
+
+// mayStillGo tells right before sending whether the upstream still takes work
+// and the configuration still sends the request there.
+func (x *exchange) mayStillGo(u *cataloger.Upstream) bool {
+	if x.d.Catalog().Usable(u.ID) == nil {
+		return false
+	}
+	return x.d.Config() == x.config
+}
+
+// lost handles a request that was sent and got no answer.
+func (x *exchange) lost(t *tracker.Upstream, err error) bool {
+	x.unknown = true
+	if x.r.Context().Err() != nil {
+		x.decision.Reason = "caller left"
+		return false
+	}
+	t.Lost()
+	switch {
+	case errors.Is(err, sender.ErrTimeout):
+		x.decision.Reason = "no answer in time"
+	case errors.Is(err, sender.ErrSilent):
+		t.Unreached()
+		x.decision.Reason = "upstream silent"
+	case errors.Is(err, sender.ErrMalformed):
+		x.decision.Reason = "malformed answer"
+	default:
+		x.decision.Reason = "connection lost"
+	}
+	x.d.Meter.Count("upstream_lost", x.labels(x.decision.Reason))
+	return false
+}
+
+// note takes over what an answer says of its upstream.
+func (x *exchange) note(t *tracker.Upstream, a *sender.Answer) {
+	if v := a.Header.Get(x.d.Fields.Load); v != "" && x.d.ParseLoad != nil {
+		if r, ok := x.d.ParseLoad(v); ok {
+			t.Note(r)
+		}
+	}
+}
