--- a/internal/process/fronter/fronter.go
+++ b/internal/process/fronter/fronter.go
@@ -30,6 +30,10 @@
 	// sweepEvery is how often idle connections are looked through.
 	sweepEvery = time.Second
 
+	// membersEvery is how old the view of the members may be by which bounds are
+	// divided: a heartbeat.
+	membersEvery = 500 * time.Millisecond
+
 	// forgetEvery is how often keys are looked through that nobody asks for: it
 	// takes 1.8 ms for the most keys that are kept (BenchmarkForget).
 	forgetEvery = 15 * time.Second
@@ -103,6 +107,9 @@
 		dispatcher *dispatcher.Dispatcher
 		servers    []*http.Server
 		cancel     context.CancelFunc
+		// living is the living members, looked up now and then: it is asked for
+		// with every request.
+		living atomic.Pointer[[]heartbeater.Member]
 		// lines bounds the lines about requests; the others are counted only.
 		lines *rate.Limiter
 	}
@@ -193,6 +200,7 @@
 		}
 	}
 	go f.loopSweep(ctx)
+	go f.loopMembers(ctx)
 	if f.options.Homes != nil {
 		go f.loopForget(ctx)
 	}
@@ -294,6 +302,18 @@
 	})
 }
 
+func (f *Fronter) loopMembers(ctx context.Context) {
+	timekeeper.Every(ctx, membersEvery, f.lookUpMembers)
+}
+
+func (f *Fronter) lookUpMembers() {
+	if f.options.Members == nil {
+		return
+	}
+	l := f.options.Members()
+	f.living.Store(&l)
+}
+
 func (f *Fronter) loopForget(ctx context.Context) {
 	timekeeper.Every(ctx, forgetEvery, f.options.Homes.Forget)
 }
--- a/internal/process/fronter/parts.go
+++ b/internal/process/fronter/parts.go
@@ -94,8 +94,13 @@
 }
 
 func (f *Fronter) members() []heartbeater.Member {
-	if f.options.Members == nil {
+	l := f.living.Load()
+	if l == nil {
+		f.lookUpMembers()
+		l = f.living.Load()
+	}
+	if l == nil {
 		return nil
 	}
-	return f.options.Members()
+	return *l
 }
--- a/internal/request/dispatcher/choose.go
+++ b/internal/request/dispatcher/choose.go
@@ -1,6 +1,8 @@
 package dispatcher
 
 import (
+	"slices"
+
 	"github.com/gullvale/gullvale/internal/request/placer"
 	"github.com/gullvale/gullvale/internal/version/cataloger"
 )
@@ -12,8 +14,22 @@
 	}
 	s := x.d.Catalog()
 	x.decision.Catalog = s.Change
+	all := s.Of(x.part)
 	var space [placer.ListLength]*cataloger.Upstream
-	list := x.candidates(space[:0], s.Of(x.part))
+	list := space[:0]
+	if x.homed() {
+		home := x.d.Homes.Home(x.key, all, x.route.Allows)
+		if home == nil {
+			return nil, placer.Gone
+		}
+		list = append(list, home)
+		// Nearly all requests end here. To look for more candidates takes time in
+		// proportion to the upstreams of the service.
+		if state := x.state(home); placer.Judge(state, x.urgent()) == placer.Fit {
+			return x.take(home, state)
+		}
+	}
+	list = x.candidates(list, all)
 	var states [placer.ListLength]placer.State
 	for i, u := range list {
 		states[i] = x.state(u)
@@ -22,8 +38,13 @@
 	if i < 0 {
 		return nil, verdict
 	}
-	x.decision.Load, x.decision.Own = states[i].Reported, states[i].Own
-	return list[i], placer.Fit
+	return x.take(list[i], states[i])
+}
+
+// take notes what was known of the chosen upstream.
+func (x *exchange) take(u *cataloger.Upstream, s placer.State) (*cataloger.Upstream, placer.Verdict) {
+	x.decision.Load, x.decision.Own = s.Reported, s.Own
+	return u, placer.Fit
 }
 
 // pick chooses among the candidates, and moves the key if that is the choice. Only a
@@ -39,20 +60,12 @@
 	return i, verdict
 }
 
-// candidates returns the home of the request's key, and the upstreams that its
-// hash prefers.
+// candidates adds the upstreams that the hash of the request's key prefers to l, which
+// may hold the key's home.
 func (x *exchange) candidates(l []*cataloger.Upstream, all []*cataloger.Upstream) []*cataloger.Upstream {
-	if !x.homed() {
-		return placer.List(l, x.key, all, x.route.Allows)
-	}
-	home := x.d.Homes.Home(x.key, all, x.route.Allows)
-	if home == nil {
-		return l
-	}
-	l = append(l, home)
 	var space [placer.ListLength]*cataloger.Upstream
 	for _, u := range placer.List(space[:0], x.key, all, x.route.Allows) {
-		if u != home && len(l) < placer.ListLength {
+		if !slices.Contains(l, u) && len(l) < placer.ListLength {
 			l = append(l, u)
 		}
 	}
--- a/internal/version/cataloger/catalog.go
+++ b/internal/version/cataloger/catalog.go
@@ -48,6 +48,10 @@
 		upstreams map[UpstreamID]*Upstream
 		evacuated map[string]bool
 		current   atomic.Pointer[Snapshot]
+		// batches is how many batches are open, and stale whether one of them
+		// changed anything.
+		batches int
+		stale   bool
 	}
 )
 
@@ -87,6 +91,21 @@
 	return s.all, len(s.usable)
 }
 
+// Batch makes f's changes appear in one snapshot. Building one takes time in
+// proportion to all upstreams, and changes come by the hundred.
+func (c *Catalog) Batch(f func()) {
+	c.lock.Lock()
+	c.batches++
+	c.lock.Unlock()
+	f()
+	c.lock.Lock()
+	defer c.lock.Unlock()
+	c.batches--
+	if c.batches == 0 && c.stale {
+		c.publish()
+	}
+}
+
 // Put records what was reported of one upstream.
 func (c *Catalog) Put(u Upstream) {
 	c.change(func() {
@@ -180,10 +199,15 @@
 		c.evacuated = map[string]bool{}
 	}
 	f()
+	if c.batches > 0 {
+		c.stale = true
+		return
+	}
 	c.publish()
 }
 
 func (c *Catalog) publish() {
+	c.stale = false
 	s := &Snapshot{
 		Change:   c.Current().Change + 1,
 		services: map[resolver.ServiceName][]*Upstream{},
