dispatcher, fronter: refusals name the upstream they are of; long heads are refused

The limit on heads of the configuration was not kept.

Change: a refusal's line has the first choice, its site, load and own requests.

Measured: TestRefusalNamesTheFirstChoice and the 431 in TestBadRequests fail before.

--- a/internal/process/fronter/fronter.go
+++ b/internal/process/fronter/fronter.go
@@ -326,7 +326,7 @@
 	}
 	f.options.Log.WithFields(logrus.Fields{
 		"id": e.ID, "route": e.Route, "service": e.Service, "class": e.Class,
-		"config": e.Config, "catalog": e.Catalog, "upstream": e.Upstream, "key": e.Key,
+		"config": e.Config, "catalog": e.Catalog, "upstream": e.Upstream, "site": e.Site, "key": e.Key,
 		"tries": e.Tries, "outcome": e.Outcome, "reason": e.Reason, "status": e.Status,
 		"ms": int64(e.Took), "load": e.Load, "own": e.Own,
 	}).Info("request")
--- a/internal/request/dispatcher/choose.go
+++ b/internal/request/dispatcher/choose.go
@@ -35,14 +35,19 @@
 		states[i] = x.state(u)
 	}
 	i, verdict := x.pick(list, states[:len(list)])
-	if i < 0 {
-		return nil, verdict
+	if i >= 0 {
+		return x.take(list[i], states[i])
 	}
-	return x.take(list[i], states[i])
+	if len(list) > 0 {
+		// What is logged of a refusal is the first choice, which the verdict is of.
+		_, _ = x.take(list[0], states[0])
+	}
+	return nil, verdict
 }
 
-// take notes what was known of the chosen upstream.
+// take notes what was known of an upstream when it was chosen.
 func (x *exchange) take(u *cataloger.Upstream, s placer.State) (*cataloger.Upstream, placer.Verdict) {
+	x.decision.Upstream, x.decision.Site = u.ID, u.Site
 	x.decision.Load, x.decision.Own = s.Reported, s.Own
 	return u, placer.Fit
 }
--- a/internal/request/dispatcher/dispatcher.go
+++ b/internal/request/dispatcher/dispatcher.go
@@ -9,6 +9,7 @@
 	"github.com/gullvale/gullvale/internal/request/assigner"
 	"github.com/gullvale/gullvale/internal/version/cataloger"
 	"github.com/gullvale/gullvale/internal/version/matcher"
+	"github.com/gullvale/gullvale/pkg/registrar"
 	"github.com/gullvale/gullvale/pkg/timekeeper"
 )
 
@@ -66,20 +67,23 @@
 
 	// Decision is how one request ended and what decided it.
 	Decision struct {
-		ID       string
-		Route    string
-		Service  string
-		Class    string
-		Config   matcher.Version
-		Catalog  uint64
+		ID      string
+		Route   string
+		Service string
+		Class   string
+		Config  matcher.Version
+		Catalog uint64
+		// Upstream is the one that was chosen last, or the first choice if none
+		// took the request, and Site is where it is.
 		Upstream cataloger.UpstreamID
+		Site     registrar.Site
 		Key      string
 		Tries    int
 		Outcome  string
 		Reason   string
 		Status   int
 		Took     timekeeper.Millis
-		// Load and Own are what was known of the chosen upstream.
+		// Load and Own are what was known of Upstream.
 		Load float64
 		Own  int
 	}
--- a/internal/request/dispatcher/dispatcher_test.go
+++ b/internal/request/dispatcher/dispatcher_test.go
@@ -40,7 +40,7 @@
 
 func newSite(t *testing.T, kind matcher.Kind) *site {
 	s := &site{runs: map[string]int{}, burst: 100}
-	config, err := matcher.New(1, matcher.Limits{BodyBytes: 1 << 20}, []matcher.Route{{
+	config, err := matcher.New(1, matcher.Limits{BodyBytes: 1 << 20, HeaderBytes: 4096}, []matcher.Route{{
 		Name: "r", Host: "h.example", Prefix: "/", Kind: kind, Timeout: 2000, Attempts: 2, Sticky: true,
 		Parts: []matcher.Part{{Service: "s", Weight: 1}},
 	}}, []matcher.Service{{Name: "s"}})
@@ -188,6 +188,21 @@
 	is.Equal(s.ran("shed"), 2) // most attempts
 }
 
+// What is told of a refusal names the upstream that did not take the request.
+func TestRefusalNamesTheFirstChoice(t *testing.T) {
+	is := is.New(t)
+	s := newSite(t, matcher.Once)
+	var told dispatcher.Decision
+	s.Decided = func(d *dispatcher.Decision) { told = *d }
+	s.catalog.Put(cataloger.Upstream{ID: "cold", Service: "s", Address: "127.0.0.1:1", Site: "east/a", Slots: 4, ColdUntil: s.Clock.Now() + 60_000})
+	p, _ := s.ask(http.MethodPost, "id", nil)
+	is.Equal(p.StatusCode, http.StatusServiceUnavailable)
+	is.Equal(told.Upstream, cataloger.UpstreamID("cold"))
+	is.Equal(string(told.Site), "east/a")
+	is.Equal(told.Reason, "cold")
+	is.Equal(told.Outcome, "not-run")
+}
+
 func TestRetryBudget(t *testing.T) {
 	is := is.New(t)
 	s := newSite(t, matcher.Idempotent)
@@ -250,6 +265,8 @@
 		q.Body, q.ContentLength = io.NopCloser(strings.NewReader("")), 2<<20
 	})
 	is.True(p == nil || p.StatusCode == http.StatusRequestEntityTooLarge)
+	p, _ = s.ask(http.MethodPost, "id", func(q *http.Request) { q.Header.Set("X-Long", strings.Repeat("x", 4096)) })
+	is.Equal(p.StatusCode, http.StatusRequestHeaderFieldsTooLarge)
 	is.Equal(s.ran("id"), 0)
 }
 
--- a/internal/request/dispatcher/exchange.go
+++ b/internal/request/dispatcher/exchange.go
@@ -19,6 +19,10 @@
 	// that a request that was refused there can be sent again.
 	shortBody = 64 << 10
 
+	// fieldBytes is what a header field takes beside its name and value: a colon,
+	// a space and the end of the line.
+	fieldBytes = 4
+
 	// defaultTimeout bounds a request whose caller and route set no limit.
 	defaultTimeout = 60 * timekeeper.Second
 
@@ -100,7 +104,7 @@
 }
 
 func (x *exchange) serve() {
-	if !x.resolve() || !x.inTime() || !x.readBody() {
+	if !x.resolve() || !x.headFits() || !x.inTime() || !x.readBody() {
 		return
 	}
 	x.header = x.upstreamHeader()
@@ -156,6 +160,25 @@
 	x.key = hasher.Mix(hasher.OfString(k), x.route.Hash())
 }
 
+// headFits refuses a head that is longer than the configuration allows.
+func (x *exchange) headFits() bool {
+	limit := x.config.Limits.HeaderBytes
+	if limit == 0 {
+		return true
+	}
+	n := int64(len(x.r.Method) + len(x.r.RequestURI))
+	for name, values := range x.r.Header {
+		for _, v := range values {
+			n += int64(len(name) + len(v) + fieldBytes)
+		}
+	}
+	if n <= limit {
+		return true
+	}
+	x.refuse(http.StatusRequestHeaderFieldsTooLarge, "head too large", 0)
+	return false
+}
+
 // inTime sets the request's limits of time, and refuses it if they leave none.
 func (x *exchange) inTime() bool {
 	x.deadline = x.began + defaultTimeout
--- a/internal/request/dispatcher/send.go
+++ b/internal/request/dispatcher/send.go
@@ -36,7 +36,6 @@
 	t := x.d.Upstreams.Of(u)
 	t.Begin()
 	defer t.End()
-	x.decision.Upstream = u.ID
 	a, err := t.Pool.Do(x.r.Context(), x.request(u))
 	switch {
 	case errors.Is(err, sender.ErrWithdrawn):
