--- a/internal/connection/tracker/set.go
+++ b/internal/connection/tracker/set.go
@@ -45,12 +45,3 @@
 		return true
 	})
 }
-
-// Dials returns how many connections were opened to the upstreams of the set.
-func (s *Set) Dials() (n uint64) {
-	s.upstreams.Range(func(_, v any) bool {
-		n += v.(*Upstream).Pool.Dials()
-		return true
-	})
-	return n
-}
--- a/internal/process/fronter/fronter.go
+++ b/internal/process/fronter/fronter.go
@@ -56,8 +56,6 @@
 
 	// closingTime is how long before the end the listeners are closed.
 	closingTime = 1000 * timekeeper.Millis(1)
-
-	stopTick = 20 * time.Millisecond
 )
 
 type (
@@ -220,7 +218,7 @@
 // until shortly before its time is over, and waits for what is under way.
 func (f *Fronter) Stop() {
 	end := f.LeavingAt()
-	f.until(end-closingTime, func() bool { return false })
+	time.Sleep(max(end-closingTime-f.clock.Now(), 0).Duration())
 	f.closeListeners(end)
 	f.cancel()
 	f.Meter.Close()
@@ -244,12 +242,6 @@
 	done <- struct{}{}
 }
 
-func (f *Fronter) until(at timekeeper.Millis, done func() bool) {
-	for f.clock.Now() < at && !done() {
-		time.Sleep(stopTick)
-	}
-}
-
 func (f *Fronter) listen(address string, h http.Handler) error {
 	l, err := net.Listen("tcp", address)
 	if err != nil {
--- a/internal/version/cataloger/catalog.go
+++ b/internal/version/cataloger/catalog.go
@@ -38,7 +38,6 @@
 		Change   uint64
 		services map[resolver.ServiceName][]*Upstream
 		usable   map[UpstreamID]*Upstream
-		all      int
 	}
 
 	// Catalog collects reports and publishes snapshots. The zero value is an
@@ -86,11 +85,6 @@
 	return s.usable[id]
 }
 
-// Size returns how many upstreams are known and how many of them take new work.
-func (s *Snapshot) Size() (known, usable int) {
-	return s.all, len(s.usable)
-}
-
 // Batch makes f's changes appear in one snapshot. Building one takes time in
 // proportion to all upstreams, and changes come by the hundred.
 func (c *Catalog) Batch(f func()) {
@@ -212,7 +206,6 @@
 		Change:   c.Current().Change + 1,
 		services: map[resolver.ServiceName][]*Upstream{},
 		usable:   map[UpstreamID]*Upstream{},
-		all:      len(c.upstreams),
 	}
 	for id, u := range c.upstreams {
 		if u.Leaving || c.evacuated[u.Site.Domain()] {
