linker: links that either side dialled serve both ways, and silence is found

The suspected spin is none: the 2 GB of allocations are the test's polls of the accounts.

Both ends of a link serve streams. - A lead dials back a member whose link it lost, so that the member can go on beating. - What the other end sends of its own accord no longer counts as an answer. A link silent in one direction carried the pings of the other side and counted as prompt for four seconds (196 requests handed to it, all unknown). - Pings belong to the session that has the requests, in use or not.

Ruled out: the finder (it asks other entries as before), detours, claims.

TestLinkServesBothWays: no such link before.

Processes of a failed test print their goroutines, and traffic its accounts: that is what showed the cause.

--- a/internal/connection/linker/call.go
+++ b/internal/connection/linker/call.go
@@ -20,6 +20,7 @@
 type outCall struct {
 	call    *exchanger.Call
 	peer    *Peer
+	session *Session
 	stream  io.ReadWriteCloser
 	writer  *framer.Writer
 	reader  *framer.Reader
@@ -28,7 +29,7 @@
 
 // Run hands a call to the peer. With relay the peer may choose the owner.
 func (p *Peer) Run(ctx context.Context, c *exchanger.Call, relay bool) exchanger.Result {
-	s := p.session.Load()
+	s := p.current()
 	if s == nil {
 		return exchanger.Refused(exchanger.ReasonLinkDial, 0)
 	}
@@ -38,8 +39,8 @@
 	}
 	defer stream.Close()
 	p.take(pooler.KeyOf(c))
-	p.waiting.Add(1)
-	defer p.waiting.Add(-1)
+	s.waiting.Add(1)
+	defer s.waiting.Add(-1)
 	p.manager.counters.Handed.Add(1)
 	now := p.manager.Clock.Now()
 	if c.Deadline > 0 {
@@ -47,7 +48,7 @@
 	}
 	stop := context.AfterFunc(ctx, func() { stream.SetDeadline(time.Now()) })
 	defer stop()
-	o := &outCall{call: c, peer: p, stream: stream, writer: framer.NewWriter(stream), reader: framer.NewReader(stream)}
+	o := &outCall{call: c, peer: p, session: s, stream: stream, writer: framer.NewWriter(stream), reader: framer.NewReader(stream)}
 	if err := o.writer.Message(framer.KindRequest, requestMessage(c, relay, now)); err != nil {
 		return o.lost(ctx)
 	}
@@ -60,6 +61,7 @@
 		if err != nil {
 			return o.lost(ctx)
 		}
+		o.session.noteAnswer(o.peer.manager.Clock.Now())
 		r, done := o.frame(f)
 		if done {
 			return r
--- a/internal/connection/linker/link_test.go
+++ b/internal/connection/linker/link_test.go
@@ -58,6 +58,34 @@
 	return from, to, p
 }
 
+// TestLinkServesBothWays hands requests to a member that refuses connections, over
+// the link which that member dialled, and stops when that ends.
+func TestLinkServesBothWays(t *testing.T) {
+	is := is.New(t)
+	var s standing
+	from, to, dialled := linked(t, s.clock())
+	from.Serve = func(_ context.Context, c *exchanger.Call, relay bool) exchanger.Result {
+		is.True(relay)
+		return exchanger.Result{Outcome: exchanger.Answered, Whole: true, Upstream: "v"}
+	}
+	refusing := registrar.Member{Incarnation: "a", Site: "erie/a", Links: "127.0.0.1:1"}
+	back := to.Peer(context.Background(), refusing)
+	is.True(back.Await(context.Background()))
+	is.True(back.Prompt())
+	is.True(!back.Gone())
+	r := back.Run(context.Background(), call(), true)
+	is.Equal(r.Outcome, exchanger.Answered)
+	is.Equal(r.Upstream, "v")
+	is.Equal(dialled.Run(context.Background(), call(), false).Upstream, "u")
+
+	from.Keep(func(registrar.Incarnation, time.Duration) bool { return false })
+	for back.Up() {
+		time.Sleep(time.Millisecond)
+	}
+	is.Equal(back.Run(context.Background(), call(), true).Reason, exchanger.ReasonLinkDial)
+	is.True(to.Keep(func(registrar.Incarnation, time.Duration) bool { return false }) > 0)
+}
+
 func call() *exchanger.Call {
 	return &exchanger.Call{
 		Head:  exchanger.Head{ID: "1", Site: pool.Site, Service: pool.Service, Method: "GET", Target: "/"},
--- a/internal/connection/linker/manager.go
+++ b/internal/connection/linker/manager.go
@@ -87,7 +87,11 @@
 		m.accepted = map[*Session]struct{}{}
 	}
 	m.accepted[s] = struct{}{}
+	p := m.peers[s.remote.Incarnation]
 	m.lock.Unlock()
+	if p != nil {
+		p.lend(ctx, s)
+	}
 	if m.Accepted != nil {
 		m.Accepted(s)
 	}
@@ -110,6 +114,9 @@
 			p.noteFree(f)
 			continue
 		}
+		if f.Kind == framer.KindAck {
+			s.noteAnswer(m.Clock.Now())
+		}
 		if m.Control != nil {
 			m.Control(s, f)
 		}
@@ -133,6 +140,11 @@
 	p = newPeer(m, to)
 	m.peers[to.Incarnation] = p
 	ctx, p.cancel = context.WithCancel(ctx)
+	for s := range m.accepted {
+		if s.remote.Incarnation == to.Incarnation {
+			p.lend(ctx, s)
+		}
+	}
 	go p.run(ctx)
 	return p
 }
@@ -154,6 +166,7 @@
 	for i, p := range m.peers {
 		if !keep(i, (now - p.lastUse()).Duration()) {
 			p.cancel()
+			p.lent.Store(nil)
 			delete(m.peers, i)
 			dropped++
 		}
--- a/internal/connection/linker/peer.go
+++ b/internal/connection/linker/peer.go
@@ -29,15 +29,14 @@
 		manager *Manager
 		member  registrar.Member
 		cancel  context.CancelFunc
+		// session is the link that this side dialled, and lent the latest one
+		// that the member dialled. Nil is none.
 		session atomic.Pointer[Session]
+		lent    atomic.Pointer[Session]
 		up      chan struct{}
 		once    sync.Once
 		gone    atomic.Bool
 		used    atomic.Int64
-		// waiting counts the requests handed over that are not answered yet.
-		waiting atomic.Int64
-		// asked is when the ping was sent that is not answered yet, 0 for none.
-		asked atomic.Int64
 
 		lock sync.Mutex
 		free map[pooler.Key]*freeSlots
@@ -66,15 +65,15 @@
 	return p.member
 }
 
-// Up tells whether the link stands.
+// Up tells whether a link stands, whichever side dialled it.
 func (p *Peer) Up() bool {
-	return p.session.Load() != nil
+	return p.current() != nil
 }
 
 // Gone tells that the last dial proved the member dead: nothing listens at its
-// address, or another process does.
+// address, or another process does. A link that stands is the better proof.
 func (p *Peer) Gone() bool {
-	return p.gone.Load()
+	return p.gone.Load() && !p.Up()
 }
 
 // Await waits until the link has stood once, or ctx ends.
@@ -89,7 +88,7 @@
 
 // Send writes a control frame. It reports false when the link is down.
 func (p *Peer) Send(k framer.Kind, m proto.Message) bool {
-	s := p.session.Load()
+	s := p.current()
 	if s == nil {
 		return false
 	}
@@ -135,9 +134,9 @@
 	}
 	stop := context.AfterFunc(ctx, s.Close)
 	defer stop()
-	p.asked.Store(0)
 	p.session.Store(s)
 	go p.runPings(ctx, s)
+	go p.manager.runStreams(ctx, s)
 	p.once.Do(func() { close(p.up) })
 	p.manager.readControl(s, p)
 	p.session.Store(nil)
--- a/internal/connection/linker/ping.go
+++ b/internal/connection/linker/ping.go
@@ -29,16 +29,30 @@
 // Prompt tells whether the other end answers. One that stands still keeps its
 // connection; what it is handed may run much later or never.
 func (p *Peer) Prompt() bool {
-	s := p.session.Load()
-	if s == nil {
-		return false
-	}
-	asked := timekeeper.Millis(p.asked.Load())
-	return asked == 0 || s.wire.lastHeard() > asked || p.manager.Clock.Now()-asked < pingLimit
+	s := p.current()
+	return s != nil && s.prompt(p.manager.Clock.Now())
 }
 
-// runPings watches a link. What comes over it shows that the other end lives, so
-// only a quiet link is asked.
+// prompt tells whether the other end of the link has answered since the last ping,
+// or has had little time for it. What the other end sends of its own accord does
+// not count: a link that is silent in one direction only still carries that, and
+// an entry handed 200 requests in four seconds to one which swallowed them all.
+func (s *Session) prompt(now timekeeper.Millis) bool {
+	asked := timekeeper.Millis(s.asked.Load())
+	return asked == 0 || s.lastAnswer() > asked || now-asked < pingLimit
+}
+
+// noteAnswer notes that the other end answered something sent here.
+func (s *Session) noteAnswer(now timekeeper.Millis) {
+	s.answered.Store(int64(now))
+}
+
+func (s *Session) lastAnswer() timekeeper.Millis {
+	return timekeeper.Millis(s.answered.Load())
+}
+
+// runPings watches a link. Answers show that the other end lives, so only a link
+// without them is asked.
 func (p *Peer) runPings(ctx context.Context, s *Session) {
 	t := time.NewTicker(pingEvery.Duration())
 	defer t.Stop()
@@ -53,27 +67,31 @@
 		if !p.pingDue(s) {
 			continue
 		}
-		p.asked.Store(int64(p.manager.Clock.Now()))
+		s.asked.Store(int64(p.manager.Clock.Now()))
 		p.manager.counters.Pings.Add(1)
 		if _, err := s.mux.Ping(); err != nil {
 			s.Close()
 			return
 		}
-		p.asked.Store(0)
+		s.noteAnswer(p.manager.Clock.Now())
+		s.asked.Store(0)
 	}
 }
 
-// pingDue tells whether a link has been quiet for too long.
+// pingDue tells whether a link has been quiet for too long. One that is not in use
+// is asked only for the requests that it still has.
 func (p *Peer) pingDue(s *Session) bool {
 	now := p.manager.Clock.Now()
-	quiet := now - s.wire.lastHeard()
+	unanswered := now - s.lastAnswer()
 	switch {
-	case p.waiting.Load() > 0:
-		return quiet >= pingEvery
+	case s.waiting.Load() > 0:
+		return unanswered >= pingEvery
+	case p.current() != s:
+		return false
 	case now-p.lastUse() < pingAfterUse:
-		return quiet >= p.manager.pingGap()
+		return unanswered >= p.manager.pingGap()
 	}
-	return quiet >= idlePing
+	return now-s.wire.lastHeard() >= idlePing
 }
 
 // pingGap is the time between two pings of a quiet link in use. It grows with the
--- a/internal/connection/linker/serve.go
+++ b/internal/connection/linker/serve.go
@@ -69,9 +69,7 @@
 		Upstream:         r.Upstream,
 		Trailers:         toHeaders(in.trailer),
 	}
-	if !q.Relay {
-		m.addFree(s, pooler.KeyOf(c), end)
-	}
+	m.addFree(s, pooler.KeyOf(c), end)
 	_ = in.writer.Message(framer.KindEnd, end)
 }
 
--- a/internal/connection/linker/session.go
+++ b/internal/connection/linker/session.go
@@ -56,6 +56,13 @@
 		// direct is when this session last carried a request for an upstream
 		// owned here.
 		direct atomic.Int64
+		// asked is when the ping was sent that is not answered yet, 0 for none.
+		asked atomic.Int64
+		// answered is when the other end last answered a ping, a request or a
+		// heartbeat.
+		answered atomic.Int64
+		// waiting counts the requests handed over that are not answered yet.
+		waiting atomic.Int64
 
 		lock sync.Mutex
 		// told is the free slots that the other end was told last.
@@ -125,7 +132,9 @@
 
 func newSession(w *wire, mux *yamux.Session, stream net.Conn) *Session {
 	c := counted{stream, w.counters}
-	return &Session{wire: w, mux: mux, control: c, writer: framer.NewWriter(c), reader: framer.NewReader(c)}
+	s := &Session{wire: w, mux: mux, control: c, writer: framer.NewWriter(c), reader: framer.NewReader(c)}
+	s.noteAnswer(w.lastHeard())
+	return s
 }
 
 // greet exchanges Hello frames: each side says who it is.
--- a/internal/process/leader/leader.go
+++ b/internal/process/leader/leader.go
@@ -157,6 +157,8 @@
 	delete(l.cursors, s)
 	l.lock.Unlock()
 	if ours && l.Leading() {
+		// The member may not be able to dial back: it can beat over this link too.
+		l.Links.Peer(ctx, s.Remote())
 		go l.runProbe(ctx, s.Remote(), l.Clock.Now())
 	}
 }
--- a/test/faults_test.go
+++ b/test/faults_test.go
@@ -99,7 +99,12 @@
 			Blocks: []string{""}, Finder: func(string) *finder.Finder { return f }, Seed: 7,
 		})
 	}()
-	t.Cleanup(cancel)
+	t.Cleanup(func() {
+		cancel()
+		if t.Failed() {
+			t.Logf("%d requests under way, accounts %+v", x.load.Running(), x.load.Accounts())
+		}
+	})
 	return x
 }
 
@@ -428,6 +433,36 @@
 	x.judge(upstreams...)
 }
 
+// TestOwnerNotDialled refuses all links to the owner of the only upstream. The other
+// entry goes on answering: the owner's own link to it stands.
+func TestOwnerNotDialled(t *testing.T) {
+	address := startPlatform(t)
+	upstream := startUpstream(t)
+	a, pa := startBehind(t, daemonOptions{name: "erie-1", region: "erie", domain: "a", platform: address})
+	b, pb := startBehind(t, daemonOptions{name: "erie-2", region: "erie", domain: "a", platform: address})
+	a.apply(2, fmt.Sprintf("[Region.erie.Domain.a.Service.keg-ledger]\nUpstreams = [%s]\nSlots = 6\n", quoted([]string{upstream})))
+	eventually(t, "all slots are owned", func() bool { return totalSlots(a, b) == 6 })
+	entry, proxy := b, pa
+	if a.slots() == 0 {
+		entry, proxy = a, pb
+	}
+	proxy.Stop()
+	answers := func() bool {
+		p, err := entry.send(t.Context(), http.MethodGet, "keg-ledger", "/item?Bytes=40&Token=t", http.NoBody)
+		if err != nil {
+			return false
+		}
+		defer p.Body.Close()
+		return p.StatusCode == http.StatusOK
+	}
+	eventually(t, "the other entry answers", answers)
+	for range 50 {
+		if !answers() {
+			t.Fatal("not answered")
+		}
+	}
+}
+
 // TestReplacedVM kills a daemon and starts another at the same addresses, which
 // must be nobody's former life.
 func TestReplacedVM(t *testing.T) {
--- a/test/harness_test.go
+++ b/test/harness_test.go
@@ -31,6 +31,10 @@
 	// measure: a test that runs into it has failed.
 	patience = 60 * time.Second
 	glance   = 20 * time.Millisecond
+
+	// dumpTime bounds how long a process of a failed test may take to print its
+	// goroutines.
+	dumpTime = 5 * time.Second
 )
 
 var binaries string
@@ -113,6 +117,9 @@
 
 func (p *process) end() {
 	_ = p.cmd.Process.Signal(syscall.SIGCONT)
+	if p.t.Failed() {
+		p.dump()
+	}
 	_ = p.cmd.Process.Kill()
 	<-p.exited
 	if strings.Contains(p.text(), "DATA RACE") {
@@ -123,6 +130,15 @@
 	}
 }
 
+// dump has the process print what its goroutines wait for, and end.
+func (p *process) dump() {
+	_ = p.cmd.Process.Signal(syscall.SIGQUIT)
+	select {
+	case <-p.exited:
+	case <-time.After(dumpTime):
+	}
+}
+
 // Write collects the output.
 func (p *process) Write(b []byte) (int, error) {
 	p.lock.Lock()
