finder: a request that may have run stays in doubt, with its key

Seen step by step in TestDoubtStays with stub entries: answered and run twice before, unknown and run once now.

Change: once a try may have run, later ones that did not run leave it unknown, and it keeps its key. Also for idempotent requests "not run" is no longer said then.

Ruled out: repeats by net/http (key in lower case, no GetBody), claims of "not run" by the pool (the mark is set before the head is flushed), keys at their home (a key absent there after a first run is kept as long as the process lives).

--- a/pkg/finder/finder.go
+++ b/pkg/finder/finder.go
@@ -261,6 +261,9 @@
 	}
 	last := Response{Outcome: NotRun, Reason: ErrNoEntry.Error()}
 	key := sentKey{value: r.Header.Get(headerKey)}
+	// unsettled is that an earlier try may have run. A later one that did not
+	// run says nothing of it: the key stays the same, and so does the doubt.
+	unsettled := false
 	for try := 1; try <= maxTries; try++ {
 		l, err := f.Find(ctx, r.Service, r.Block)
 		if err != nil {
@@ -279,6 +282,10 @@
 		last = f.sendTo(ctx, e, r, key, end)
 		key.first = false
 		last.Tries = try
+		if unsettled && last.Outcome == NotRun {
+			last.Outcome = Unknown
+		}
+		unsettled = last.Outcome == Unknown
 		if !f.again(r, last, end) {
 			break
 		}
--- a/test/loss_test.go
+++ b/test/loss_test.go
@@ -6,6 +6,7 @@
 	"net/http"
 	"net/http/httptest"
 	"strings"
+	"sync"
 	"testing"
 
 	"github.com/matryer/is"
@@ -79,7 +80,8 @@
 	return all
 }
 
-// callers has the callers of each place ask until the test ends.
+// callers has the callers of each place ask until the test ends. stop returns when
+// no request begins any more.
 func callers(t *testing.T, rate float64, all []*place) (stop func()) {
 	t.Helper()
 	var seeds []string
@@ -87,15 +89,21 @@
 		seeds = append(seeds, p.daemon.callers)
 	}
 	ctx, cancel := context.WithCancel(context.Background())
-	t.Cleanup(cancel)
+	var running sync.WaitGroup
+	stop = func() {
+		cancel()
+		running.Wait()
+	}
+	t.Cleanup(stop)
 	for i, p := range all {
 		f := &finder.Finder{Seeds: seeds, HTTP: caller.NewClient(nil)}
-		go p.load.Run(ctx, caller.Stream{
+		s := caller.Stream{
 			Class: "short", Service: "keg-ledger", Rate: rate, PostPart: 0.3, Bytes: 500, Deadline: 5000,
 			Blocks: []string{p.block}, Finder: func(string) *finder.Finder { return f }, Seed: uint64(i),
-		})
+		}
+		running.Go(func() { p.load.Run(ctx, s) })
 	}
-	return cancel
+	return stop
 }
 
 func (p *place) account() caller.Account {
