forwarder, dispatcher: "not run" is not said once an earlier try may have run

Same fault as in the finder, one step in: the only owner's upstream breaks off a GET, nobody is left to try it, and the last try's "no entry for the site, not run" was the answer, though the request had run. The dispatcher had it where the configuration changes between two sendings of an idempotent request.

Ruled out for requests that must not run twice: they end with the first try that may have run.

--- a/internal/request/dispatcher/answer.go
+++ b/internal/request/dispatcher/answer.go
@@ -147,9 +147,13 @@
 	}
 }
 
-// refuse answers that the request did not run. After is when to come back, 0 for
-// at once.
+// refuse answers that the request did not run, unless an earlier sending may have.
+// After is when to come back, 0 for at once.
 func (x *exchange) refuse(status int, reason string, after timekeeper.Millis) {
+	if x.unknown {
+		x.fail(http.StatusBadGateway, reason)
+		return
+	}
 	if status == http.StatusServiceUnavailable {
 		x.w.Header().Set("Retry-After", seconds(after))
 	}
--- a/internal/request/forwarder/detour.go
+++ b/internal/request/forwarder/detour.go
@@ -102,6 +102,11 @@
 	t := &try{call: c, idempotent: s.Idempotent(c.Method)}
 	t.hook()
 	f.budgets.of(c.Service).earn(s.RetryBudget)
+	return t.truth(f.runSomewhere(ctx, t))
+}
+
+func (f *Forwarder) runSomewhere(ctx context.Context, t *try) exchanger.Result {
+	c := t.call
 	k := pooler.KeyOf(c)
 	if c.Detour || c.Relayed {
 		return f.runAtSite(ctx, t)
--- a/internal/request/forwarder/route.go
+++ b/internal/request/forwarder/route.go
@@ -36,6 +36,7 @@
 	t.tried = map[registrar.Incarnation]bool{}
 	for n := 1; ; n++ {
 		r := f.once(ctx, t)
+		t.mayHaveRun = t.mayHaveRun || r.Outcome == exchanger.Unknown
 		if n == maxTries || !t.again(r) || f.late(c) || ctx.Err() != nil {
 			return r
 		}
@@ -54,6 +55,17 @@
 	started    bool
 	admitted   bool
 	tried      map[registrar.Incarnation]bool
+	// mayHaveRun is that a try ended without telling.
+	mayHaveRun bool
+}
+
+// truth returns the result of all tries from that of the last: when it did not run,
+// an earlier one may have.
+func (t *try) truth(r exchanger.Result) exchanger.Result {
+	if t.mayHaveRun && r.Outcome == exchanger.NotRun {
+		r.Outcome = exchanger.Unknown
+	}
+	return r
 }
 
 // hook notes how far the call gets.
