dispatcher: a cold upstream's rate is taken for what is sent there

Cause: to look at a cold upstream took a token of its rate, and each choice looked up to twice at the key's home and once at two others. A token went for requests that were then sent elsewhere, so cold upstreams got less than their rate allows.

Change: looking asks whether there is room, sending takes it; if another request was faster the choice is made again. TestWarmthIsTakenForWhatIsSent: five tokens are five requests at cold upstreams.

--- a/internal/connection/tracker/upstream.go
+++ b/internal/connection/tracker/upstream.go
@@ -157,15 +157,28 @@
 	}
 }
 
-// AllowCold takes one request of the rate allowed while the upstream is cold.
-func (u *Upstream) AllowCold(perSecond float64, burst int) bool {
+// MayWarm tells whether a rate allows one more request while the upstream is cold.
+func (u *Upstream) MayWarm(perSecond float64, burst int) bool {
 	u.lock.Lock()
 	defer u.lock.Unlock()
+	return u.coldRate(perSecond, burst).Tokens() >= 1
+}
+
+// Warm takes one request of the rate allowed while the upstream is cold, and reports
+// false if there is none left.
+func (u *Upstream) Warm(perSecond float64, burst int) bool {
+	u.lock.Lock()
+	defer u.lock.Unlock()
+	return u.coldRate(perSecond, burst).Allow()
+}
+
+// coldRate returns the limiter of requests while cold. The caller holds the lock.
+func (u *Upstream) coldRate(perSecond float64, burst int) *rate.Limiter {
 	if u.cold == nil {
 		u.cold = rate.NewLimiter(rate.Limit(perSecond), burst)
 	}
 	if u.cold.Limit() != rate.Limit(perSecond) {
 		u.cold.SetLimit(rate.Limit(perSecond))
 	}
-	return u.cold.Allow()
+	return u.cold
 }
--- a/internal/process/fronter/fronter.go
+++ b/internal/process/fronter/fronter.go
@@ -123,7 +123,8 @@
 		Upstreams: f.upstreams,
 		Fields:    o.Fields,
 		ParseLoad: o.ParseLoad,
-		AllowCold: f.allowCold,
+		MayWarm:   f.mayWarm,
+		Warm:      f.warm,
 		Homes:     o.Homes,
 		Retries: &dispatcher.Retries{
 			Limits: f.retryLimits,
--- a/internal/process/fronter/parts.go
+++ b/internal/process/fronter/parts.go
@@ -56,16 +56,24 @@
 	}
 }
 
-// allowCold tells whether this member may send a request to a cold upstream now.
-func (f *Fronter) allowCold(u *cataloger.Upstream, t *tracker.Upstream) bool {
-	if !f.sendsCold(u) {
-		return false
-	}
+// mayWarm tells whether this member may send a request to a cold upstream now.
+func (f *Fronter) mayWarm(u *cataloger.Upstream, t *tracker.Upstream) bool {
+	return f.sendsCold(u) && t.MayWarm(f.coldRate(u), coldBurst)
+}
+
+// warm takes one request of this member's part of a cold upstream's rate.
+func (f *Fronter) warm(u *cataloger.Upstream, t *tracker.Upstream) bool {
+	return t.Warm(f.coldRate(u), coldBurst)
+}
+
+// coldRate is this member's part of a cold upstream's rate, in requests a second, if
+// it is one of its senders.
+func (f *Fronter) coldRate(u *cataloger.Upstream) float64 {
 	perSecond := defaultColdRate
 	if c := f.Config(); c != nil && c.Services[u.Service].WarmupPerSecond > 0 {
 		perSecond = c.Services[u.Service].WarmupPerSecond
 	}
-	return t.AllowCold(perSecond*coldShare/coldSenders, coldBurst)
+	return perSecond * coldShare / coldSenders
 }
 
 // sendsCold tells whether this member is one of the senders to a cold upstream:
--- a/internal/request/dispatcher/choose.go
+++ b/internal/request/dispatcher/choose.go
@@ -25,8 +25,9 @@
 		list = append(list, home)
 		// Nearly all requests end here. To look for more candidates takes time in
 		// proportion to the upstreams of the service.
-		if state := x.state(home); placer.Judge(state, x.urgent()) == placer.Fit {
-			return x.take(home, state)
+		if state := x.state(home); placer.Judge(state, x.urgent()) == placer.Fit && x.warm(home) {
+			x.take(home, state)
+			return home, placer.Fit
 		}
 	}
 	list = x.candidates(list, all)
@@ -34,22 +35,35 @@
 	for i, u := range list {
 		states[i] = x.state(u)
 	}
-	i, verdict := x.pick(list, states[:len(list)])
-	if i >= 0 {
-		return x.take(list[i], states[i])
-	}
-	if len(list) > 0 {
-		// What is logged of a refusal is the first choice, which the verdict is of.
-		_, _ = x.take(list[0], states[0])
+	for {
+		i, verdict := x.pick(list, states[:len(list)])
+		switch {
+		case i >= 0 && x.warm(list[i]):
+			x.take(list[i], states[i])
+			return list[i], placer.Fit
+		case i >= 0:
+			// Another request has just taken the room that there was.
+			states[i].Cold = true
+			continue
+		case len(list) > 0:
+			// What is logged of a refusal is the first choice, which the verdict is of.
+			x.take(list[0], states[0])
+		}
+		return nil, verdict
 	}
-	return nil, verdict
 }
 
 // take notes what was known of an upstream when it was chosen.
-func (x *exchange) take(u *cataloger.Upstream, s placer.State) (*cataloger.Upstream, placer.Verdict) {
+func (x *exchange) take(u *cataloger.Upstream, s placer.State) {
 	x.decision.Upstream, x.decision.Site = u.ID, u.Site
 	x.decision.Load, x.decision.Own = s.Reported, s.Own
-	return u, placer.Fit
+}
+
+// warm takes room for the request at an upstream that is cold. Room is taken for what
+// is sent only: requests that looked at a cold upstream and went elsewhere used to
+// take it as well.
+func (x *exchange) warm(u *cataloger.Upstream) bool {
+	return !u.Cold(x.d.Clock.Now()) || x.d.Warm != nil && x.d.Warm(u, x.d.Upstreams.Of(u))
 }
 
 // pick chooses among the candidates, and moves the key if that is the choice. Only a
@@ -89,7 +103,7 @@
 		s.Tried = s.Tried || id == u.ID
 	}
 	if !s.Tried && u.Cold(x.d.Clock.Now()) {
-		s.Cold = x.d.AllowCold == nil || !x.d.AllowCold(u, t)
+		s.Cold = x.d.MayWarm == nil || !x.d.MayWarm(u, t)
 	}
 	return s
 }
--- a/internal/request/dispatcher/dispatcher.go
+++ b/internal/request/dispatcher/dispatcher.go
@@ -34,7 +34,7 @@
 		Load string
 	}
 
-	// Warmth decides whether a cold upstream takes one more request now.
+	// Warmth is asked about one more request to a cold upstream now.
 	Warmth func(u *cataloger.Upstream, t *tracker.Upstream) bool
 
 	// Dispatcher handles requests. Config, Catalog, Upstreams and Fields must
@@ -47,9 +47,10 @@
 		Fields    Fields
 		// ParseLoad reads the value of Fields.Load.
 		ParseLoad func(string) (tracker.Report, bool)
-		// AllowCold is asked before a request goes to a cold upstream. Nil
-		// allows none.
-		AllowCold Warmth
+		// MayWarm tells whether a cold upstream has room for a request, and Warm
+		// takes the room for one that goes there; it reports false if there is
+		// none any more. Nil allows none.
+		MayWarm, Warm Warmth
 		// Homes knows where keys live. Nil means that they go by their hash.
 		Homes *assigner.Assigner
 		// Retries holds the budget of repeated sendings.
--- a/internal/request/dispatcher/dispatcher_test.go
+++ b/internal/request/dispatcher/dispatcher_test.go
@@ -203,6 +203,35 @@
 	is.Equal(told.Outcome, "not-run")
 }
 
+// TestWarmthIsTakenForWhatIsSent looks at cold upstreams among others: the rate of a
+// cold one pays for the requests that it gets, not for those that go elsewhere.
+func TestWarmthIsTakenForWhatIsSent(t *testing.T) {
+	is := is.New(t)
+	s := newSite(t, matcher.Once)
+	const room = 5
+	taken := 0
+	s.MayWarm = func(*cataloger.Upstream, *tracker.Upstream) bool { return taken < room }
+	s.Warm = func(*cataloger.Upstream, *tracker.Upstream) bool {
+		taken++
+		return taken <= room
+	}
+	var cold atomic.Int64
+	for _, id := range []string{"u1", "u2", "u3"} {
+		s.add(t, id, func(w http.ResponseWriter, r *http.Request) {
+			cold.Add(1)
+			good(w, r)
+		})
+		u, _ := s.catalog.Known(cataloger.UpstreamID(id))
+		u.ColdUntil = s.Clock.Now() + 60_000
+		s.catalog.Put(u)
+	}
+	s.add(t, "warm", good)
+	for i := range 12 {
+		_, _ = s.ask(http.MethodPost, fmt.Sprint("id", i), nil)
+	}
+	is.Equal(cold.Load(), int64(room))
+}
+
 func TestRetryBudget(t *testing.T) {
 	is := is.New(t)
 	s := newSite(t, matcher.Idempotent)
