explainer: gullvale explain ID tells from the logs how a request ended

Cause: from an id to its cause took several greps over the logs of all VMs, joined by hand, and times of whole seconds did not even give their order.

Change: `gullvale explain ID [FILE...]` prints each try with the configuration, the upstream, the store and the neighbours as they were; lines carry milliseconds.

--- a/internal/connection/linker/link_test.go
+++ b/internal/connection/linker/link_test.go
@@ -65,7 +65,7 @@
 	is := is.New(t)
 	var s standing
 	from, to, dialled := linked(t, s.clock())
-	from.Serve = func(_ context.Context, c *exchanger.Call, relay bool) exchanger.Result {
+	from.Serve = func(_ context.Context, _ *exchanger.Call, relay bool) exchanger.Result {
 		is.True(relay)
 		return exchanger.Result{Outcome: exchanger.Answered, Whole: true, Upstream: "v"}
 	}
--- /dev/null
+++ b/internal/process/explainer/explain.go
@@ -0,0 +1,166 @@
+package explainer
+
+import (
+	"cmp"
+	"slices"
+	"strings"
+	"time"
+)
+
+// around is how far in time other requests at the same upstream are counted: what
+// befalls an upstream befalls its requests within about a second.
+const around = time.Second
+
+type (
+	// Try is one request of a caller that reached a VM, and what had decided it.
+	Try struct {
+		Request Line
+		// Config is when the configuration that decided was put in force there,
+		// nil if the log does not reach back so far.
+		Config *Line
+		// Newer is the first VM's line of a newer configuration before the
+		// request, nil if no VM had one.
+		Newer *Line
+		// Upstream is what the VM had last heard of the upstream, and Left the
+		// first line of any VM before the request that it leaves or is gone.
+		Upstream, Left *Line
+		// Store is that the VM had lost the store and not regained it.
+		Store *Line
+		// Others counts how other requests ended at the upstream at that time.
+		Others []Count
+		// Cause says in words what the reason means.
+		Cause string
+	}
+
+	// Count is how many requests ended in one way.
+	Count struct {
+		Ended    string
+		Requests int
+	}
+)
+
+// causes says what the parts of a reason mean.
+var causes = []struct{ part, cause string }{
+	{"other incarnation", "another upstream answers at the address; this one has ended"},
+	{"no answer in time", "the upstream did not answer within the time of the route: see whether others at it were slow too"},
+	{"upstream silent", "the connection stood, and nothing came over it: the upstream's VM stands still or is cut off"},
+	{"connection lost", "the upstream closed or reset the connection before it answered"},
+	{"malformed answer", "what the upstream sent is no answer to this request"},
+	{"answer of unknown origin", "the answer does not carry the upstream's own mark: something else listens at its address"},
+	{"answer broke off", "the upstream's answer ended before it was whole"},
+	{"upstream not reached", "no connection to the upstream could be opened"},
+	{"upstream failed", "the upstream answered that it failed"},
+	{"refused by upstream", "the upstream said that it did not run the request"},
+	{"no configuration", "the VM had just started and knew no configuration yet"},
+	{"no route", "no route of the configuration in force there matches the host and path"},
+	{"own requests", "the VM had as many requests at the key's upstream as it may"},
+	{"line", "too many requests waited at the key's upstream"},
+	{"cold", "the key's upstream is cold and its rate was used up"},
+	{"failing", "the key's upstream failed too many of the requests before"},
+	{"down", "the key's upstream was not reached lately"},
+	{"gone", "no upstream of the service takes work: see what leaves and what is evacuated"},
+	{"retry budget used up", "no more repeats were allowed at that time"},
+	{"attempts used up", "the route allows no more attempts"},
+	{"may have run", "a request of this kind must not be sent again once it may have run"},
+	{"no time left", "the rest of its time was too short for another sending"},
+	{"stopping", "the VM was to end before the request could"},
+	{"caller left", "the caller closed the connection"},
+}
+
+// Explain returns what is known of a request, a Try for each line about it.
+func (l *Log) Explain(id string) []Try {
+	var out []Try
+	for i, x := range l.lines {
+		if x.Message == msgRequest && x.ID == id {
+			out = append(out, l.explain(i))
+		}
+	}
+	slices.SortStableFunc(out, func(a, b Try) int { return a.Request.Time.Compare(b.Request.Time) })
+	return out
+}
+
+// explain gathers what was known when the request of line n ended.
+func (l *Log) explain(n int) Try {
+	q := l.lines[n]
+	t := Try{Request: q, Cause: causeOf(q.Reason)}
+	for i := range l.lines {
+		x := &l.lines[i]
+		if x.Source == q.Source && i < n {
+			t.noteOwn(x)
+		}
+		if !x.Time.After(q.Time) {
+			t.noteAny(x)
+		}
+	}
+	t.Others = l.others(n)
+	return t
+}
+
+// noteOwn takes in an earlier line of the request's VM.
+func (t *Try) noteOwn(x *Line) {
+	switch {
+	case x.Message == msgConfig && x.Version == t.Request.Config:
+		t.Config = x
+	case x.aboutUpstream(t.Request.Upstream):
+		t.Upstream = x
+	case x.Message == msgStoreLost:
+		t.Store = x
+	case x.Message == msgStoreRegained:
+		t.Store = nil
+	}
+}
+
+// noteAny takes in a line of any VM that is not later than the request.
+func (t *Try) noteAny(x *Line) {
+	switch {
+	case x.Message == msgConfig && x.Version > t.Request.Config && earlier(x, t.Newer):
+		t.Newer = x
+	case x.aboutUpstream(t.Request.Upstream) && (x.Leaving || x.Message == msgUpstreamGone) && earlier(x, t.Left):
+		t.Left = x
+	}
+}
+
+func (x *Line) aboutUpstream(id string) bool {
+	return id != "" && x.Upstream == id && (x.Message == msgUpstream || x.Message == msgUpstreamGone)
+}
+
+func earlier(x, than *Line) bool {
+	return than == nil || x.Time.Before(than.Time)
+}
+
+// others counts the other requests at the upstream of line n around its time.
+func (l *Log) others(n int) []Count {
+	q := l.lines[n]
+	counts := map[string]int{}
+	for i, x := range l.lines {
+		if i == n || q.Upstream == "" || x.Message != msgRequest || x.Upstream != q.Upstream || x.Time.Sub(q.Time).Abs() > around {
+			continue
+		}
+		ended := x.Outcome
+		if x.Reason != "" {
+			ended += ", " + x.Reason
+		}
+		counts[ended]++
+	}
+	var out []Count
+	for e, k := range counts {
+		out = append(out, Count{Ended: e, Requests: k})
+	}
+	slices.SortFunc(out, func(a, b Count) int {
+		return cmp.Or(cmp.Compare(b.Requests, a.Requests), cmp.Compare(a.Ended, b.Ended))
+	})
+	return out
+}
+
+// causeOf says what a reason means, each of its parts in turn.
+func causeOf(reason string) string {
+	var out []string
+	for _, part := range strings.Split(reason, ", ") {
+		for _, c := range causes {
+			if c.part == part {
+				out = append(out, c.cause)
+			}
+		}
+	}
+	return strings.Join(out, "; ")
+}
--- /dev/null
+++ b/internal/process/explainer/text.go
@@ -0,0 +1,82 @@
+package explainer
+
+import (
+	"fmt"
+	"io"
+	"time"
+)
+
+// clockLayout is how times are printed: the day is the reader's own.
+const clockLayout = "15:04:05.000"
+
+// Write prints the try for people.
+func (t Try) Write(w io.Writer) {
+	q := t.Request
+	fmt.Fprintf(w, "%s %s: %s", q.Time.Format(clockLayout), q.Source, q.Outcome)
+	if q.Reason != "" {
+		fmt.Fprintf(w, ", %s", q.Reason)
+	}
+	fmt.Fprintf(w, " (status %d, %g ms, %d sent)\n", q.Status, q.Millis, q.Tries)
+	say := func(format string, args ...any) { fmt.Fprintf(w, "  "+format+"\n", args...) }
+	if t.Cause != "" {
+		say("%s", t.Cause)
+	}
+	if q.Route != "" {
+		say("route %s of service %s, %s", q.Route, q.Service, q.Class)
+	}
+	t.writeConfig(say)
+	t.writeUpstream(say)
+	if t.Store != nil {
+		say("the VM had lost the store (%s) %s before", t.Store.Kind, ago(q, t.Store))
+	}
+	for _, c := range t.Others {
+		say("%d others at this upstream within %s: %s", c.Requests, around, c.Ended)
+	}
+}
+
+func (t Try) writeConfig(say func(string, ...any)) {
+	q := t.Request
+	switch {
+	case q.Config == 0:
+		say("no configuration was known")
+	case t.Config == nil:
+		say("configuration %d, in force from before the log", q.Config)
+	default:
+		say("configuration %d, in force there for %s", q.Config, ago(q, t.Config))
+	}
+	if t.Newer != nil {
+		say("configuration %d was in force at %s for %s", t.Newer.Version, t.Newer.Source, ago(q, t.Newer))
+	}
+}
+
+func (t Try) writeUpstream(say func(string, ...any)) {
+	q := t.Request
+	if q.Upstream == "" {
+		return
+	}
+	say("upstream %s at %s, %.3g running and waiting as reported, %d of them this VM's own", q.Upstream, q.Site, q.Load, q.Own)
+	if u := t.Upstream; u != nil {
+		say("last heard of it %s before: %s", ago(q, u), u.state())
+	}
+	if t.Left != nil {
+		say("%s knew %s before that it is %s", t.Left.Source, ago(q, t.Left), t.Left.state())
+	}
+}
+
+// state says what a line tells of an upstream.
+func (x *Line) state() string {
+	switch {
+	case x.Message == msgUpstreamGone:
+		return "gone"
+	case x.Leaving:
+		return "leaving"
+	case x.ColdFor > 0:
+		return fmt.Sprintf("taking work, cold for %g ms", x.ColdFor)
+	}
+	return "taking work"
+}
+
+// ago is the time from an earlier line to the request.
+func ago(q Line, x *Line) time.Duration {
+	return q.Time.Sub(x.Time).Round(time.Millisecond)
+}
--- a/internal/process/logger/logger.go
+++ b/internal/process/logger/logger.go
@@ -10,6 +10,10 @@
 	"github.com/zeromicro/go-zero/core/stat"
 )
 
+// timeLayout is RFC 3339 to the millisecond: lines of several processes are put in
+// order by it, and a request takes some hundred milliseconds.
+const timeLayout = "2006-01-02T15:04:05.000Z07:00"
+
 var once sync.Once
 
 // New returns a logger of structured lines. The first call also routes the logs
@@ -18,7 +22,7 @@
 	l := logrus.New()
 	l.SetOutput(w)
 	l.SetLevel(level)
-	l.SetFormatter(&logrus.JSONFormatter{})
+	l.SetFormatter(&logrus.JSONFormatter{TimestampFormat: timeLayout})
 	once.Do(func() {
 		// go-zero sets up its log once, with a writer of its own. That must
 		// have happened before the writer is replaced.
--- a/test/cli_test.go
+++ b/test/cli_test.go
@@ -39,7 +39,9 @@
 		startUpstream(t), startUpstream(t))
 	bad := filepath.Join(dir, "bad.toml")
 	blocks := filepath.Join(dir, "blocks.txt")
-	for name, text := range map[string]string{tree: good, bad: "Slots = 0\nlimit = \"1%\"\n", blocks: "10.1.0.0/16 erie/a\n10.2.0.0/16 michigan/a\n"} {
+	logs := filepath.Join(dir, "erie-1.log")
+	request := `{"time":"2026-01-11T05:37:30.000Z","msg":"request","id":"aa01","outcome":"not-run","reason":"line","status":503}` + "\n"
+	for name, text := range map[string]string{tree: good, bad: "Slots = 0\nlimit = \"1%\"\n", blocks: "10.1.0.0/16 erie/a\n10.2.0.0/16 michigan/a\n", logs: request} {
 		if err := writeFile(name, text); err != nil {
 			t.Fatal(err)
 		}
@@ -58,6 +60,10 @@
 		want            string
 	}{
 		{both, "settings check " + tree, 0, "ok"},
+		{nobody, "explain aa01 " + logs, 0, "too many requests waited"},
+		{nobody, "explain aa01 -o json " + logs, 0, `"Cause": "too many`},
+		{nobody, "explain bb02 " + logs, 1, "no line about request bb02"},
+		{nobody, "explain aa01 " + logs + ".1", 2, "no such file"},
 		{both, "settings check " + bad, 2, bad + ":1: / Slots: 0 is outside 1 to 100000\n" + bad + ":2: / limit: unknown setting; did you mean Limit?"},
 		{both, "settings apply " + bad, 2, "did you mean Limit?"},
 		{both, "settings apply " + tree, 0, "change 1 accepted, in force on 2 of 2 after"},
