loader, follower: routes, limits and evacuations from the product's own file

Cause: the model of routes had one source, the platform's store; the product itself could not use it, nor operators see which route a request takes.

`gullvale routes FILE [HOST PATH]` checks a table (all faults at once, with lines) and names the route and service of a request. Header fields without a name are really unused now: the dispatcher took an answer without a mark of its origin for a foreign one and sent fields with an empty name.

TestEntryFollowsItsTable runs it as a process: 20 of 20 requests that must not run twice answered before and after an evacuation, none at the evacuated upstream, 404, 413 and 503 with Retry-After where due, exit 0. Not done: the same in the daemons' shared tree of settings.

--- a/cmd/gullvaled/main.go
+++ b/cmd/gullvaled/main.go
@@ -8,14 +8,21 @@
 	"os/signal"
 	"syscall"
 
+	"github.com/sirupsen/logrus"
 	"github.com/spf13/cobra"
 
 	"github.com/gullvale/gullvale/internal/process/configurer"
+	"github.com/gullvale/gullvale/internal/process/follower"
 	"github.com/gullvale/gullvale/internal/process/logger"
 	"github.com/gullvale/gullvale/internal/process/runner"
+	"github.com/gullvale/gullvale/pkg/timekeeper"
 	"github.com/gullvale/gullvale/platform"
 )
 
+// defaultStop is the time from SIGTERM to the end of an entry: longer than most
+// requests, shorter than what supervisors wait before they kill.
+const defaultStop = 6 * timekeeper.Second
+
 // The exit codes.
 const (
 	exitDone     = 0
@@ -50,10 +57,54 @@
 	c.Flags().BoolVar(&check, "check", false, "check the settings file and exit")
 	_ = c.MarkFlagRequired("settings")
 	_ = c.MarkFlagFilename("settings", "toml")
-	c.AddCommand(platformCommand(code))
+	c.AddCommand(platformCommand(code), entryCommand(code))
+	return c
+}
+
+// entryCommand runs an entry that takes routes and upstreams from a file.
+func entryCommand(code *int) *cobra.Command {
+	o := follower.Options{StopWithin: defaultStop}
+	var check bool
+	c := &cobra.Command{
+		Use:   "entry --table FILE.toml",
+		Short: "Serve routes from a table in a file, without other daemons",
+		Args:  cobra.NoArgs,
+		Run: func(*cobra.Command, []string) {
+			*code = runEntry(o, check)
+		},
+	}
+	f := c.Flags()
+	f.StringVar(&o.File, "table", "", "routes, services, upstreams and evacuations (required)")
+	f.StringVar(&o.Name, "name", "entry", "name of this entry")
+	f.StringVar((*string)(&o.Site), "site", "here/here", "region/domain of this entry")
+	f.StringVar(&o.Callers, "callers", "127.0.0.1:7100", "address for callers")
+	f.StringVar(&o.Checks, "checks", "", "address that answers /ready, none if empty")
+	f.StringVar(&o.Metrics, "metrics", "", "address that serves /metrics, none if empty")
+	f.Int64Var((*int64)(&o.StopWithin), "stop-millis", int64(defaultStop), "time from SIGTERM to the end")
+	f.BoolVar(&check, "check", false, "check the table and exit")
+	_ = c.MarkFlagRequired("table")
+	_ = c.MarkFlagFilename("table", "toml")
 	return c
 }
 
+func runEntry(o follower.Options, check bool) int {
+	o.Log = logger.New(os.Stdout, logrus.InfoLevel)
+	f, problems := follower.New(o)
+	if len(problems) > 0 {
+		fmt.Fprintln(os.Stderr, problems.Error())
+		return exitBadInput
+	}
+	if check {
+		fmt.Printf("%s: ok\n", o.File)
+		return exitDone
+	}
+	if err := f.Run(); err != nil {
+		fmt.Fprintln(os.Stderr, err)
+		return exitFailed
+	}
+	return exitDone
+}
+
 // platformCommand runs the daemon where the platform names its settings file.
 func platformCommand(code *int) *cobra.Command {
 	return &cobra.Command{
--- a/internal/process/fronter/fronter.go
+++ b/internal/process/fronter/fronter.go
@@ -104,7 +104,9 @@
 		upstreams  *tracker.Set
 		dispatcher *dispatcher.Dispatcher
 		servers    []*http.Server
-		cancel     context.CancelFunc
+		// addresses are where the listeners are, in the order of the options.
+		addresses []string
+		cancel    context.CancelFunc
 		// living is the living members, looked up now and then: it is asked for
 		// with every request.
 		living atomic.Pointer[[]heartbeater.Member]
@@ -206,6 +208,12 @@
 	return nil
 }
 
+// Addresses returns where the listeners are that have an address, in the order of the
+// options. A port of 0 there is the one that was given here.
+func (f *Fronter) Addresses() []string {
+	return f.addresses
+}
+
 // Leave begins to stop: the entry is not ready any more, and callers that still
 // know its address are told to go elsewhere with their answers.
 func (f *Fronter) Leave() {
@@ -257,6 +265,7 @@
 		ConnState:      guarder.ConnState,
 	}
 	f.servers = append(f.servers, s)
+	f.addresses = append(f.addresses, l.Addr().String())
 	go f.runServer(s, guarder.Listener{Listener: limitListener{l, f}})
 	return nil
 }
--- a/internal/request/dispatcher/answer.go
+++ b/internal/request/dispatcher/answer.go
@@ -40,7 +40,7 @@
 		return false
 	}
 	success := a.Status < http.StatusMultipleChoices
-	if success && a.Header.Get(x.d.Fields.Proof) == "" {
+	if proof := x.d.Fields.Proof; success && proof != "" && a.Header.Get(proof) == "" {
 		return x.broken(t, "answer of unknown origin")
 	}
 	failed := a.Status >= http.StatusInternalServerError
--- a/internal/request/dispatcher/send.go
+++ b/internal/request/dispatcher/send.go
@@ -66,8 +66,12 @@
 func (x *exchange) request(u *cataloger.Upstream) *sender.Request {
 	now := x.d.Clock.Now()
 	h := x.header
-	h[x.d.Fields.Deadline] = []string{strconv.FormatInt(int64(max(x.until-now, 1)), 10)}
-	h[x.d.Fields.Expected] = []string{string(u.ID)}
+	if f := x.d.Fields.Deadline; f != "" {
+		h[f] = []string{strconv.FormatInt(int64(max(x.until-now, 1)), 10)}
+	}
+	if f := x.d.Fields.Expected; f != "" {
+		h[f] = []string{string(u.ID)}
+	}
 	q := &sender.Request{
 		Method:      x.r.Method,
 		Target:      x.r.RequestURI,
--- /dev/null
+++ b/internal/version/loader/field.go
@@ -0,0 +1,220 @@
+package loader
+
+import (
+	"math"
+	"net/netip"
+	"strconv"
+	"strings"
+
+	"github.com/gullvale/gullvale/internal/version/cataloger"
+	"github.com/gullvale/gullvale/internal/version/matcher"
+	"github.com/gullvale/gullvale/internal/version/parser"
+	"github.com/gullvale/gullvale/internal/version/resolver"
+	"github.com/gullvale/gullvale/pkg/registrar"
+	"github.com/gullvale/gullvale/pkg/timekeeper"
+)
+
+// The lengths of the paths of settings: Limits.BodyBytes, Route.returns.Host and
+// Route.returns.Weights.keg-ledger.
+const (
+	ofFile   = 1
+	ofLimits = 2
+	ofTable  = 3
+	ofWeight = 4
+)
+
+const (
+	unknownSetting = "unknown setting"
+
+	// maxTime is the longest time that a file may name.
+	maxTime = timekeeper.Hour
+)
+
+var kinds = map[string]matcher.Kind{"once": matcher.Once, "idempotent": matcher.Idempotent, "download": matcher.Download}
+
+// field takes one setting over, and says what is wrong with it.
+func (b *builder) field(e parser.Entry) string {
+	n := len(e.Path)
+	last := e.Path[n-1]
+	switch {
+	case n == ofFile:
+		return b.fileField(last, e)
+	case n == ofLimits && e.Path[0] == "Limits":
+		return limitField(&b.limits, last, e)
+	case n == ofTable && e.Path[0] == "Service":
+		return serviceField(b.service(e.Path[1]), last, e)
+	case n == ofTable && e.Path[0] == "Upstream":
+		return upstreamField(b.upstream(e.Path[1], e.Position), last, e)
+	case n == ofTable && e.Path[0] == "Route":
+		return routeField(b.route(e.Path[1]), last, e)
+	case n == ofWeight && e.Path[0] == "Route" && e.Path[2] == "Weights":
+		return weightField(b.route(e.Path[1]), last, e)
+	}
+	return unknownSetting
+}
+
+func (b *builder) route(name string) *matcher.Route {
+	if b.routes[name] == nil {
+		b.routes[name] = &matcher.Route{Name: name, Prefix: "/"}
+	}
+	return b.routes[name]
+}
+
+func (b *builder) service(name string) *matcher.Service {
+	if b.services[name] == nil {
+		b.services[name] = &matcher.Service{Name: resolver.ServiceName(name)}
+	}
+	return b.services[name]
+}
+
+func (b *builder) upstream(id string, at parser.Position) *upstream {
+	if b.upstreams[id] == nil {
+		b.upstreams[id] = &upstream{Upstream: cataloger.Upstream{ID: cataloger.UpstreamID(id)}, at: at}
+	}
+	return b.upstreams[id]
+}
+
+func (b *builder) fileField(name string, e parser.Entry) string {
+	switch name {
+	case "Version":
+		return whole(&b.version, e)
+	case "Evacuated":
+		return words(&b.evacuated, e)
+	}
+	return unknownSetting
+}
+
+func limitField(l *matcher.Limits, name string, e parser.Entry) string {
+	switch name {
+	case "HeaderBytes":
+		return whole(&l.HeaderBytes, e)
+	case "BodyBytes":
+		return whole(&l.BodyBytes, e)
+	case "HeaderTimeoutMillis":
+		return millis(&l.HeaderTimeout, e)
+	case "IdleTimeoutMillis":
+		return millis(&l.IdleTimeout, e)
+	}
+	return unknownSetting
+}
+
+func serviceField(s *matcher.Service, name string, e parser.Entry) string {
+	switch name {
+	case "HealthPath":
+		return text(&s.HealthPath, e)
+	case "MaxConnections":
+		return whole(&s.MaxConnections, e)
+	case "WarmupMillis":
+		return millis(&s.Warmup, e)
+	case "WarmupPerSecond":
+		return number(&s.WarmupPerSecond, e)
+	}
+	return unknownSetting
+}
+
+func upstreamField(u *upstream, name string, e parser.Entry) string {
+	switch name {
+	case "Service":
+		return text(&u.Service, e)
+	case "Address":
+		if _, err := netip.ParseAddrPort(e.Text); err != nil {
+			return "is no IP number and port"
+		}
+		return text(&u.Address, e)
+	case "Site":
+		return site(&u.Site, e)
+	case "Release":
+		return text(&u.Release, e)
+	case "Slots":
+		return whole(&u.Slots, e)
+	case "Leaving":
+		return yes(&u.Leaving, e)
+	case "ColdMillis":
+		return millis(&u.ColdUntil, e)
+	}
+	return unknownSetting
+}
+
+func routeField(r *matcher.Route, name string, e parser.Entry) string {
+	switch name {
+	case "Host":
+		problem := text(&r.Host, e)
+		r.Host = strings.ToLower(r.Host)
+		return problem
+	case "Prefix":
+		return text(&r.Prefix, e)
+	case "Kind":
+		k, ok := kinds[e.Text]
+		r.Kind = k
+		return unless(ok, "is none of once, idempotent, download")
+	case "Rank":
+		return whole(&r.Rank, e)
+	case "ObjectiveMillis":
+		return millis(&r.Objective, e)
+	case "TimeoutMillis":
+		return millis(&r.Timeout, e)
+	case "Attempts":
+		return whole(&r.Attempts, e)
+	case "Regions":
+		return words(&r.Regions, e)
+	case "Sticky":
+		return yes(&r.Sticky, e)
+	}
+	return unknownSetting
+}
+
+func weightField(r *matcher.Route, service string, e parser.Entry) string {
+	p := matcher.Part{Service: resolver.ServiceName(service)}
+	problem := whole(&p.Weight, e)
+	r.Parts = append(r.Parts, p)
+	return problem
+}
+
+func unless(ok bool, problem string) string {
+	if ok {
+		return ""
+	}
+	return problem
+}
+
+func text[T ~string](x *T, e parser.Entry) string {
+	*x = T(e.Text)
+	return unless(e.Kind == parser.KindText && e.Text != "", "is no text")
+}
+
+func words(x *[]string, e parser.Entry) string {
+	*x = e.List
+	return unless(e.Kind == parser.KindList, "is no list of texts")
+}
+
+func yes(x *bool, e parser.Entry) string {
+	*x = e.Text == "true"
+	return unless(e.Kind == parser.KindBool, "is neither true nor false")
+}
+
+func whole[T ~int | ~int64 | ~uint64](x *T, e parser.Entry) string {
+	n, err := strconv.ParseInt(e.Text, 10, 64)
+	*x = T(n)
+	return unless(e.Kind == parser.KindNumber && err == nil && n >= 0, "is no whole number from 0 on")
+}
+
+func number(x *float64, e parser.Entry) string {
+	n, err := strconv.ParseFloat(e.Text, 64)
+	*x = n
+	return unless(e.Kind == parser.KindNumber && err == nil && n >= 0 && !math.IsInf(n, 0), "is no number from 0 on")
+}
+
+func millis(x *timekeeper.Millis, e parser.Entry) string {
+	problem := whole(x, e)
+	if problem == "" && *x > maxTime {
+		return "is longer than an hour, in milliseconds"
+	}
+	return problem
+}
+
+// site reads "region/domain".
+func site(x *registrar.Site, e parser.Entry) string {
+	region, domain, ok := strings.Cut(e.Text, "/")
+	*x = registrar.Site(e.Text)
+	return unless(ok && region != "" && domain != "", "is no region/domain")
+}
--- a/test/cli_test.go
+++ b/test/cli_test.go
@@ -41,7 +41,10 @@
 	blocks := filepath.Join(dir, "blocks.txt")
 	logs := filepath.Join(dir, "erie-1.log")
 	request := `{"time":"2026-01-11T05:37:30.000Z","msg":"request","id":"aa01","outcome":"not-run","reason":"line","status":503}` + "\n"
-	for name, text := range map[string]string{tree: good, bad: "Slots = 0\nlimit = \"1%\"\n", blocks: "10.1.0.0/16 erie/a\n10.2.0.0/16 michigan/a\n", logs: request} {
+	table := filepath.Join(dir, "table.toml")
+	wrong := filepath.Join(dir, "wrong.toml")
+	routes := tableOf(7, `"erie-b"`, []string{"10.0.0.1:80", "10.0.0.2:80"})
+	for name, text := range map[string]string{table: routes, wrong: "Version = 0\nRoute.r.Host = 7\n", tree: good, bad: "Slots = 0\nlimit = \"1%\"\n", blocks: "10.1.0.0/16 erie/a\n10.2.0.0/16 michigan/a\n", logs: request} {
 		if err := writeFile(name, text); err != nil {
 			t.Fatal(err)
 		}
@@ -60,6 +63,11 @@
 		want            string
 	}{
 		{both, "settings check " + tree, 0, "ok"},
+		{nobody, "routes " + table, 0, "ok: version 7, 1 routes, 1 services, 2 upstreams, evacuated [erie-b]"},
+		{nobody, "routes " + table + " kegs.example /ledger/7", 0, "route ledger to keg-ledger, once, at most 2000 ms and 1 attempts"},
+		{nobody, "routes " + table + " kegs.example /other/ -o json", 1, "no route for kegs.example/other/"},
+		{nobody, "routes " + wrong, 2, "wrong.toml:2: Route.r.Host: is no text"},
+		{nobody, "routes " + table + " kegs.example", 2, "FILE HOST PATH"},
 		{nobody, "explain aa01 " + logs, 0, "too many requests waited"},
 		{nobody, "explain aa01 -o json " + logs, 0, `"Cause": "too many`},
 		{nobody, "explain bb02 " + logs, 1, "no line about request bb02"},
--- /dev/null
+++ b/test/entry_test.go
@@ -0,0 +1,111 @@
+package integration_test
+
+import (
+	"fmt"
+	"io"
+	"net/http"
+	"os"
+	"path/filepath"
+	"strings"
+	"syscall"
+	"testing"
+
+	"github.com/matryer/is"
+)
+
+// tableOf is a table of one route and two upstreams in two failure domains.
+func tableOf(version int, evacuated string, upstreams []string) string {
+	return fmt.Sprintf(`Version = %d
+Evacuated = [%s]
+[Limits]
+BodyBytes = 1000
+[Route.ledger]
+Host = "kegs.example"
+Prefix = "/ledger/"
+Kind = "once"
+TimeoutMillis = 2000
+Attempts = 1
+Weights.keg-ledger = 1
+[Upstream.u1]
+Service = "keg-ledger"
+Address = %q
+Site = "erie/erie-a"
+Slots = 6
+[Upstream.u2]
+Service = "keg-ledger"
+Address = %q
+Site = "erie/erie-b"
+Slots = 6
+`, version, evacuated, upstreams[0], upstreams[1])
+}
+
+// TestEntryFollowsItsTable runs an entry from a file: routes and limits hold, a
+// changed file is in force soon, and one that is wrong or not newer changes nothing.
+func TestEntryFollowsItsTable(t *testing.T) {
+	is := is.New(t)
+	upstreams := []string{startUpstream(t), startUpstream(t)}
+	file := filepath.Join(t.TempDir(), "table.toml")
+	write := func(text string) { is.NoErr(os.WriteFile(file, []byte(text), 0o600)) }
+	write(tableOf(1, "", upstreams))
+	entry := start(t, "gullvaled", "entry", "--table", file, "--callers", "127.0.0.1:0", "--stop-millis", "1500")
+	callers := entry.field("listeners")["listeners"].([]any)[0].(string)
+	says := func(msg string, times int) func() bool {
+		return func() bool { return strings.Count(entry.text(), msg) >= times }
+	}
+	token := 0
+	ask := func(host, path, body string) (int, http.Header) {
+		token++
+		q, err := http.NewRequest(http.MethodPost, fmt.Sprintf("http://%s%s?Bytes=40&Token=t%d", callers, path, token), strings.NewReader(body))
+		is.NoErr(err)
+		q.Host = host
+		q.Header.Set("Gullvale-Key", fmt.Sprint("keg-", token))
+		p, err := http.DefaultClient.Do(q)
+		if err != nil {
+			return 0, nil
+		}
+		defer p.Body.Close()
+		_, _ = io.Copy(io.Discard, p.Body)
+		return p.StatusCode, p.Header
+	}
+	eventually(t, "a request is answered", func() bool {
+		status, _ := ask("kegs.example", "/ledger/x", "one keg")
+		return status == http.StatusOK
+	})
+	for range 20 {
+		status, _ := ask("kegs.example", "/ledger/x", "one keg")
+		is.Equal(status, http.StatusOK)
+	}
+	ran := func(i int) int { return len(runs(t, upstreams[i])[0]) }
+	is.True(ran(0) > 0 && ran(1) > 0)
+	status, _ := ask("kegs.example", "/other/", "one keg")
+	is.Equal(status, http.StatusNotFound)
+	status, _ = ask("kegs.example", "/ledger/x", strings.Repeat("k", 1001))
+	is.Equal(status, http.StatusRequestEntityTooLarge)
+
+	write(tableOf(2, `"erie-a"`, upstreams))
+	eventually(t, "the second table is in force", says("configuration in force", 2))
+	before := ran(0)
+	for range 20 {
+		status, _ := ask("kegs.example", "/ledger/x", "one keg")
+		is.Equal(status, http.StatusOK)
+	}
+	is.Equal(ran(0), before)
+
+	write(strings.Replace(tableOf(3, "", upstreams), "Slots = 6", "Slots = many", 1))
+	eventually(t, "a wrong table is refused", says("changed table refused", 1))
+	write(tableOf(1, "", upstreams))
+	entry.signal(syscall.SIGHUP)
+	eventually(t, "an older table is refused", says("table not newer", 1))
+	status, _ = ask("kegs.example", "/ledger/x", "one keg")
+	is.Equal(status, http.StatusOK)
+	is.Equal(ran(0), before)
+
+	write(tableOf(4, `"erie-a", "erie-b"`, upstreams))
+	eventually(t, "the fourth table is in force", says("configuration in force", 3))
+	status, header := ask("kegs.example", "/ledger/x", "one keg")
+	is.Equal(status, http.StatusServiceUnavailable)
+	is.True(header.Get("Retry-After") != "")
+
+	entry.signal(syscall.SIGTERM)
+	is.Equal(entry.exit(), 0)
+}
