fronter: the part of a cold upstream's rate follows the bound that is given

Cause: cold-over and cold-slack were read and not used; two senders at 0.45 of the rate each, with one request at once, kept the bound of the known sites (1.5 and 5) and would break it where slack is small: at 1 and 0, with a rate of 1, two in a second.

Change: a sender's part is also at most what lets three senders, one more than there should be, stay within the bound.

--- a/internal/process/fronter/parts.go
+++ b/internal/process/fronter/parts.go
@@ -23,6 +23,14 @@
 	// bound although members do not agree on anything.
 	coldSenders = 2
 
+	// mostColdSenders is how many may take themselves for one of the senders: one
+	// more than there are, while not all know yet that a member is gone or new.
+	mostColdSenders = 3
+
+	// leastColdRate is the least rate of a sender, in requests a second, so that an
+	// upstream with a tight bound gets some at all.
+	leastColdRate = 0.1
+
 	// coldShare is the part of a cold upstream's rate that is used.
 	coldShare = 0.9
 
@@ -41,11 +49,24 @@
 	// RetryWindow is the time over which repeats are counted.
 	RetryWindow timekeeper.Millis
 	// ColdOver and ColdSlack bound the requests to a cold upstream in any
-	// second: its own rate times the first plus the second.
+	// second: its own rate times the first plus the second. Both 0 is no bound.
 	ColdOver  float64
 	ColdSlack float64
 }
 
+// ColdPart is the rate at which one sender may send to a cold upstream that bears
+// perSecond, both in requests a second: its part of what the upstream bears, and no
+// more than keeps all that may be sending within the bound, with a request each that
+// they may send at once.
+func (b Bounds) ColdPart(perSecond float64) float64 {
+	part := perSecond * coldShare / coldSenders
+	if b.ColdOver == 0 && b.ColdSlack == 0 {
+		return part
+	}
+	most := perSecond*b.ColdOver + b.ColdSlack
+	return max(min(part, most/mostColdSenders-coldBurst), leastColdRate)
+}
+
 // retryLimits is this member's part of the repeats.
 func (f *Fronter) retryLimits() dispatcher.RetryLimits {
 	b := f.options.Bounds()
@@ -73,7 +94,7 @@
 	if c := f.Config(); c != nil && c.Services[u.Service].WarmupPerSecond > 0 {
 		perSecond = c.Services[u.Service].WarmupPerSecond
 	}
-	return perSecond * coldShare / coldSenders
+	return f.options.Bounds().ColdPart(perSecond)
 }
 
 // sendsCold tells whether this member is one of the senders to a cold upstream:
--- a/internal/request/placer/place.go
+++ b/internal/request/placer/place.go
@@ -7,8 +7,8 @@
 
 const (
 	// ListLength is how many upstreams a key has. In trials of days with
-	// trouble a list of 2 or 3 served 0.73 to 0.75 of the credit and an
-	// unbounded one 0.51, from which service did not recover.
+	// trouble a list of 2 or 3 kept 0.73 to 0.75 of the value of what was
+	// asked and an unbounded one 0.51, from which service did not recover.
 	ListLength = 3
 
 	// ownShare is how many requests one daemon may have at an upstream, in
