--- a/test/faults_test.go
+++ b/test/faults_test.go
@@ -14,6 +14,7 @@
 	"github.com/matryer/is"
 	"github.com/rs/zerolog"
 
+	"github.com/gullvale/gullvale/internal/process/leader"
 	"github.com/gullvale/gullvale/internal/process/operator"
 	"github.com/gullvale/gullvale/internal/standin/caller"
 	"github.com/gullvale/gullvale/internal/standin/platform"
@@ -461,6 +462,13 @@
 			t.Fatal("not answered")
 		}
 	}
+	// Longer than a lead waits for heartbeats: nothing is awaited here.
+	time.Sleep(leader.Silence.Duration() + time.Second)
+	eventually(t, "both are members", func() bool { return a.state().Members == 2 && b.state().Valid && a.state().Valid })
+	a.set(2, "44")
+	if !answers() {
+		t.Fatal("not answered after a while")
+	}
 }
 
 // TestReplacedVM kills a daemon and starts another at the same addresses, which
