--- a/internal/connection/tracker/set.go
+++ b/internal/connection/tracker/set.go
@@ -21,10 +21,11 @@
 
 // Of returns the state of an upstream.
 func (s *Set) Of(u *cataloger.Upstream) *Upstream {
-	if v, ok := s.upstreams.Load(u.ID); ok {
+	i := u.Incarnation()
+	if v, ok := s.upstreams.Load(i); ok {
 		return v.(*Upstream)
 	}
-	v, _ := s.upstreams.LoadOrStore(u.ID, &Upstream{
+	v, _ := s.upstreams.LoadOrStore(i, &Upstream{
 		clock: s.Clock,
 		Pool:  &sender.Pool{Address: u.Address, Dial: s.Dial, Clock: s.Clock},
 	})
@@ -33,10 +34,10 @@
 
 // Sweep closes connections that have been idle for too long, and forgets the
 // upstreams that keep does not know any more.
-func (s *Set) Sweep(keep func(cataloger.UpstreamID) bool) {
+func (s *Set) Sweep(keep func(cataloger.Incarnation) bool) {
 	s.upstreams.Range(func(k, v any) bool {
 		u := v.(*Upstream)
-		if !keep(k.(cataloger.UpstreamID)) {
+		if !keep(k.(cataloger.Incarnation)) {
 			s.upstreams.Delete(k)
 			u.Pool.Close()
 			return true
--- a/internal/process/fronter/fronter.go
+++ b/internal/process/fronter/fronter.go
@@ -297,9 +297,9 @@
 
 func (f *Fronter) loopSweep(ctx context.Context) {
 	timekeeper.Every(ctx, sweepEvery, func() {
-		f.upstreams.Sweep(func(id cataloger.UpstreamID) bool {
-			_, ok := f.Catalog.Known(id)
-			return ok
+		f.upstreams.Sweep(func(i cataloger.Incarnation) bool {
+			u, ok := f.Catalog.Known(i.ID)
+			return ok && u.Born == i.Born
 		})
 	})
 }
--- a/internal/request/dispatcher/answer.go
+++ b/internal/request/dispatcher/answer.go
@@ -36,7 +36,7 @@
 	if a.Header.Get(x.d.Fields.NotRun) != "" {
 		t.Reached(true)
 		x.decision.Reason = "refused by upstream"
-		x.refusedBy = x.decision.Upstream
+		x.refusedBy = x.tried[len(x.tried)-1]
 		drain(a)
 		return false
 	}
--- a/internal/request/dispatcher/choose.go
+++ b/internal/request/dispatcher/choose.go
@@ -99,9 +99,7 @@
 func (x *exchange) state(u *cataloger.Upstream) placer.State {
 	t := x.d.Upstreams.Of(u)
 	s := t.State(u)
-	for _, id := range x.tried {
-		s.Tried = s.Tried || id == u.ID
-	}
+	s.Tried = slices.Contains(x.tried, u.Incarnation())
 	s.Tried = s.Tried && !x.refusedWithRoom(u, s)
 	if !s.Tried && u.Cold(x.d.Clock.Now()) {
 		s.Cold = x.d.MayWarm == nil || !x.d.MayWarm(u, t)
@@ -113,7 +111,7 @@
 // though not all its slots are taken. It is as likely as any to take the request the
 // next time, and needs a third of the work that another one does.
 func (x *exchange) refusedWithRoom(u *cataloger.Upstream, s placer.State) bool {
-	return x.refusedBy == u.ID && x.homed() && s.Reported < float64(s.Slots)
+	return x.refusedBy == u.Incarnation() && x.homed() && s.Reported < float64(s.Slots)
 }
 
 // urgent tells whether no request of the configuration goes before this one.
--- a/internal/request/dispatcher/exchange.go
+++ b/internal/request/dispatcher/exchange.go
@@ -84,9 +84,9 @@
 	stream io.Reader
 	length int64
 
-	tried []cataloger.UpstreamID
+	tried []cataloger.Incarnation
 	// refusedBy is the upstream that said last that the request did not run there.
-	refusedBy cataloger.UpstreamID
+	refusedBy cataloger.Incarnation
 	// unknown tells that the request may have run.
 	unknown bool
 
--- a/internal/request/dispatcher/send.go
+++ b/internal/request/dispatcher/send.go
@@ -44,7 +44,7 @@
 		x.notSent(t)
 		return false
 	}
-	x.tried = append(x.tried, u.ID)
+	x.tried = append(x.tried, u.Incarnation())
 	if err != nil {
 		return x.lost(t, err)
 	}
@@ -95,7 +95,7 @@
 // mayStillGo tells right before sending whether the upstream still takes work
 // and the configuration still sends the request there.
 func (x *exchange) mayStillGo(u *cataloger.Upstream) bool {
-	if x.d.Catalog().Usable(u.ID) == nil {
+	if x.d.Catalog().Usable(u.Incarnation()) == nil {
 		return false
 	}
 	return x.d.Config() == x.config
--- a/internal/version/cataloger/catalog.go
+++ b/internal/version/cataloger/catalog.go
@@ -1,6 +1,7 @@
 package cataloger
 
 import (
+	"maps"
 	"sync"
 	"sync/atomic"
 
@@ -11,13 +12,24 @@
 )
 
 type (
-	// UpstreamID names one incarnation of an upstream. After a restart the
-	// same address is another incarnation.
+	// UpstreamID is what an upstream calls itself. It may start again under the id that
+	// it had.
 	UpstreamID string
 
+	// Incarnation is one life of an upstream, from a start to its end. Nothing that is
+	// known of one holds for the next: its connections, its load, the keys that it
+	// remembers.
+	Incarnation struct {
+		ID   UpstreamID
+		Born timekeeper.Millis
+	}
+
 	// Upstream is one incarnation as it was last reported.
 	Upstream struct {
-		ID      UpstreamID
+		ID UpstreamID
+		// Born is when it started by its own clock, in milliseconds since the Unix
+		// epoch, 0 if it does not say.
+		Born    timekeeper.Millis
 		Service resolver.ServiceName
 		Address string
 		Site    registrar.Site
@@ -45,6 +57,9 @@
 	Catalog struct {
 		lock      sync.Mutex
 		upstreams map[UpstreamID]*Upstream
+		// lives is the latest start that was reported of each upstream, also of some
+		// that are gone: an older report that arrives late is of a former life.
+		lives     map[UpstreamID]timekeeper.Millis
 		evacuated map[string]bool
 		current   atomic.Pointer[Snapshot]
 		// batches is how many batches are open, and stale whether one of them
@@ -54,6 +69,10 @@
 	}
 )
 
+// goneLives is how many upstreams that are gone may be remembered. Late reports come
+// within seconds, in which a fleet of hundreds replaces some tens.
+const goneLives = 1000
+
 var empty Snapshot
 
 // Hash identifies the incarnation.
@@ -61,6 +80,18 @@
 	return u.hash
 }
 
+// Incarnation tells this life of the upstream from others.
+func (u *Upstream) Incarnation() Incarnation {
+	return Incarnation{u.ID, u.Born}
+}
+
+func (u *Upstream) identify() {
+	u.hash = hasher.OfString(string(u.ID))
+	if u.Born != 0 {
+		u.hash = hasher.Mix(u.hash, hasher.Hash(u.Born))
+	}
+}
+
 // Cold tells whether u is cold at a reading of the clock.
 func (u *Upstream) Cold(now timekeeper.Millis) bool {
 	return now < u.ColdUntil
@@ -80,9 +111,12 @@
 	return s.services[name]
 }
 
-// Usable returns the upstream if it takes new work, nil if not.
-func (s *Snapshot) Usable(id UpstreamID) *Upstream {
-	return s.usable[id]
+// Usable returns the upstream if this life of it takes new work, nil if not.
+func (s *Snapshot) Usable(i Incarnation) *Upstream {
+	if u := s.usable[i.ID]; u != nil && u.Born == i.Born {
+		return u
+	}
+	return nil
 }
 
 // Batch makes f's changes appear in one snapshot. Building one takes time in
@@ -100,11 +134,37 @@
 	}
 }
 
-// Put records what was reported of one upstream.
-func (c *Catalog) Put(u Upstream) {
+// Put records what was reported of one upstream, and reports false if that was of a
+// former life.
+func (c *Catalog) Put(u Upstream) (current bool) {
 	c.change(func() {
-		u.hash = hasher.OfString(string(u.ID))
-		c.upstreams[u.ID] = &u
+		if current = c.enter(u); current {
+			u.identify()
+			c.upstreams[u.ID] = &u
+		}
+	})
+	return current
+}
+
+// enter notes a life, and reports false if a later one is known. The caller holds the
+// lock.
+func (c *Catalog) enter(u Upstream) bool {
+	if u.Born < c.lives[u.ID] {
+		return false
+	}
+	if u.Born != 0 {
+		c.lives[u.ID] = u.Born
+	}
+	return true
+}
+
+// forgetLives drops the lives of upstreams that are gone once there are many.
+func (c *Catalog) forgetLives() {
+	if len(c.lives) <= len(c.upstreams)+goneLives {
+		return
+	}
+	maps.DeleteFunc(c.lives, func(id UpstreamID, _ timekeeper.Millis) bool {
+		return c.upstreams[id] == nil
 	})
 }
 
@@ -115,13 +175,19 @@
 	})
 }
 
-// Replace makes all known upstreams be those of a complete list.
+// Replace makes all known upstreams be those of a complete list. One that is listed with
+// a former life stays as it is known.
 func (c *Catalog) Replace(all []Upstream) {
 	c.change(func() {
-		clear(c.upstreams)
+		before := c.upstreams
+		c.upstreams = make(map[UpstreamID]*Upstream, len(all))
 		for _, u := range all {
-			u.hash = hasher.OfString(string(u.ID))
-			c.upstreams[u.ID] = &u
+			if c.enter(u) {
+				u.identify()
+				c.upstreams[u.ID] = &u
+			} else if known := before[u.ID]; known != nil {
+				c.upstreams[u.ID] = known
+			}
 		}
 	})
 }
@@ -190,9 +256,11 @@
 	defer c.lock.Unlock()
 	if c.upstreams == nil {
 		c.upstreams = map[UpstreamID]*Upstream{}
+		c.lives = map[UpstreamID]timekeeper.Millis{}
 		c.evacuated = map[string]bool{}
 	}
 	f()
+	c.forgetLives()
 	if c.batches > 0 {
 		c.stale = true
 		return
--- a/internal/version/cataloger/catalog_test.go
+++ b/internal/version/cataloger/catalog_test.go
@@ -25,8 +25,8 @@
 	u := upstream(1)
 	u.Leaving = true
 	c.Put(u)
-	is.True(c.Current().Usable("u1") == nil)
-	is.True(c.Current().Usable("u0") != nil)
+	is.True(c.Current().Usable(cataloger.Incarnation{ID: "u1"}) == nil)
+	is.True(c.Current().Usable(cataloger.Incarnation{ID: "u0"}) != nil)
 	before := c.Current()
 	c.Evacuate("a")
 	is.Equal(len(c.Current().Of("s")), 0)
@@ -56,3 +56,49 @@
 	c.Remove("u8")
 	is.Equal(len(c.Current().Of("s")), 98)
 }
+
+// life is an upstream that started at a time, at an address that tells lives apart.
+func life(born timekeeper.Millis, address string) cataloger.Upstream {
+	u := upstream(1)
+	u.Born, u.Address = born, address
+	return u
+}
+
+// TestFormerLifeStaysGone reports lives of one upstream out of order, changed and listed.
+func TestFormerLifeStaysGone(t *testing.T) {
+	is := is.New(t)
+	var c cataloger.Catalog
+	first, second := life(100, "a:1"), life(200, "a:2")
+	is.True(c.Put(first))
+	old := c.Current().Of("s")[0]
+	is.True(c.Put(second))
+	is.True(c.Current().Of("s")[0].Hash() != old.Hash()) // it remembers no key
+	is.True(c.Current().Usable(old.Incarnation()) == nil)
+	is.True(!c.Put(first)) // a write that came late
+	is.Equal(c.Current().Of("s")[0].Address, "a:2")
+	c.Replace([]cataloger.Upstream{first, upstream(2)})
+	is.Equal(len(c.Current().Of("s")), 2)
+	is.True(c.Current().Usable(second.Incarnation()) != nil)
+	is.True(!c.Put(life(0, "a:0"))) // an entry without the start, though one had it
+	c.Remove("u1")
+	is.True(!c.Put(first))
+	is.Equal(len(c.Current().Of("s")), 1)
+	is.True(c.Put(second)) // its entry ran out and is back
+	is.Equal(len(c.Current().Of("s")), 2)
+}
+
+func TestLivesAreBounded(t *testing.T) {
+	is := is.New(t)
+	var c cataloger.Catalog
+	c.Put(life(500, "a:1"))
+	for i := range 3000 {
+		u := upstream(i + 10)
+		u.Born = 100
+		c.Put(u)
+		c.Remove(u.ID)
+	}
+	u := upstream(10)
+	u.Born = 1
+	is.True(c.Put(u))                 // forgotten long ago
+	is.True(!c.Put(life(100, "a:1"))) // still there
+}
--- a/internal/version/loader/load_test.go
+++ b/internal/version/loader/load_test.go
@@ -128,18 +128,18 @@
 	first, _ := loader.Read("t.toml", []byte(table))
 	first.Fill(&c, 1000)
 	is.Equal(len(c.Current().Of("ledger")), 1)
-	is.True(c.Current().Usable("u1") != nil)
-	is.Equal(c.Current().Usable("u2"), nil)
+	is.True(c.Current().Usable(cataloger.Incarnation{ID: "u1"}) != nil)
+	is.Equal(c.Current().Usable(cataloger.Incarnation{ID: "u2"}), nil)
 	u, _ := c.Known("u2")
 	is.Equal(u.ColdUntil, timekeeper.Millis(1500))
 
 	second, _ := loader.Read("t.toml", []byte(strings.Replace(table, `["erie-b"]`, `["erie-a"]`, 1)))
 	second.Fill(&c, 5000)
-	is.Equal(c.Current().Usable("u1"), nil)
-	is.Equal(c.Current().Usable("u2").ColdUntil, timekeeper.Millis(8000))
+	is.Equal(c.Current().Usable(cataloger.Incarnation{ID: "u1"}), nil)
+	is.Equal(c.Current().Usable(cataloger.Incarnation{ID: "u2"}).ColdUntil, timekeeper.Millis(8000))
 
 	second.Fill(&c, 6000)
-	is.Equal(c.Current().Usable("u2").ColdUntil, timekeeper.Millis(8000))
+	is.Equal(c.Current().Usable(cataloger.Incarnation{ID: "u2"}).ColdUntil, timekeeper.Millis(8000))
 }
 
 func FuzzRead(f *testing.F) {
