pipeliner, fronter: requests sent ahead are handled side by side

Cause: callers of two of four kinds send several requests before the first answer. The front handled a connection one request after the other, so each reached its upstream after all before it, and a caller that left with requests waiting was not seen.

Change: a server for callers' connections that reads all the time, on net/http's own parser. Requests that may be repeated and have no body overlap, 16 a connection and 2,048 in all; answers go out in order, what waits is bounded (128 KB an answer, 24 MB in all). A request that may run once begins when all before it are answered. An answer closes its connection only if nothing behind it was begun, so a stop cuts none. The head timeout of the configuration is kept now, with 408. Log and metrics: waited, sentAfter, objective, first_send_seconds.

Ruled out: splitting a connection in front of net/http (a parser of our own), answering in the goroutine that reads (a caller that leaves is not seen).

--- /dev/null
+++ b/internal/connection/pipeliner/fuzz_test.go
@@ -0,0 +1,50 @@
+package pipeliner_test
+
+import (
+	"slices"
+	"strings"
+	"testing"
+	"time"
+)
+
+const (
+	// endOfFuzz ends a connection whose requests are whole, so that nothing waits.
+	endOfFuzz = "\r\n\r\nGET /end HTTP/1.1\r\nHost: x\r\nConnection: close\r\n\r\n"
+
+	// fuzzPatience is when the caller of any other connection leaves.
+	fuzzPatience = 50 * time.Millisecond
+)
+
+// FuzzRequests sends any bytes to this server and to that of net/http. What handlers get
+// must be the same, but for what only this one refuses: from the first difference on it
+// may have gotten less, never something else.
+func FuzzRequests(f *testing.F) {
+	for _, text := range []string{
+		"GET /a HTTP/1.1\r\n" + host + "\r\nGET /b HTTP/1.1\r\n" + host + "\r\n",
+		"POST /x HTTP/1.1\r\n" + host + "Content-Length: 4\r\n\r\nbodyGET /b HTTP/1.1\r\n" + host + "\r\n",
+		"POST /x HTTP/1.1\r\n" + host + "Transfer-Encoding: chunked\r\n\r\n4\r\nbody\r\n0\r\n\r\nGET /b HTTP/1.1\r\n" + host + "\r\n",
+		"POST /x HTTP/1.1\r\n" + host + "Content-Length: 3\r\nTransfer-Encoding: chunked\r\n\r\n3\r\nabc\r\n0\r\n\r\n",
+		"POST /x HTTP/1.1\r\n" + host + "Content-Length : 3\r\n\r\nabc",
+		"GET /x HTTP/1.1\r\n" + host + "A: b\rGET /y HTTP/1.1\r\n\r\n",
+		"POST /x HTTP/1.1\r\n" + host + "Expect: 100-continue\r\nContent-Length: 4\r\n\r\nbody",
+		"HEAD / HTTP/1.0\r\nConnection: keep-alive\r\n\r\nGET / HTTP/1.0\r\n\r\n",
+	} {
+		f.Add(text)
+	}
+	ours, standard, gotOurs, gotStandard := servers(f)
+	f.Fuzz(func(t *testing.T, text string) {
+		if strings.HasPrefix(text, "PRI * HTTP/2.0") || strings.Contains(text, "OPTIONS *") {
+			t.Skip("net/http answers these by itself")
+		}
+		gotOurs.clear()
+		gotStandard.clear()
+		a, b := converseFor(t, fuzzPatience, ours, text+endOfFuzz), converseFor(t, fuzzPatience, standard, text+endOfFuzz)
+		if a.left || b.left {
+			t.Skip("handlers may still be at work")
+		}
+		got, want := gotOurs.of(a.caller), gotStandard.of(b.caller)
+		if len(got) > len(want) || !slices.Equal(got, want[:len(got)]) {
+			t.Fatalf("of %q handlers get\n%q, of the standard server\n%q", text, got, want)
+		}
+	})
+}
--- /dev/null
+++ b/internal/connection/pipeliner/standard_test.go
@@ -0,0 +1,234 @@
+package pipeliner_test
+
+import (
+	"bufio"
+	"errors"
+	"fmt"
+	"io"
+	"log"
+	"net"
+	"net/http"
+	"os"
+	"slices"
+	"strings"
+	"sync"
+	"testing"
+	"time"
+
+	"github.com/matryer/is"
+
+	"github.com/gullvale/gullvale/internal/connection/pipeliner"
+	"github.com/gullvale/gullvale/pkg/timekeeper"
+)
+
+const (
+	maxHead = 8 << 10
+
+	// idleLimit is how long connections of these tests may be idle. No verdict rests on
+	// it: it only ends connections that are kept.
+	idleLimit = 200 * timekeeper.Millis(1)
+)
+
+// echo answers with what it got, and notes it by the caller's address.
+type echo struct {
+	lock sync.Mutex
+	got  map[string][]string
+}
+
+// of returns what the caller of a connection sent.
+func (e *echo) of(caller string) []string {
+	e.lock.Lock()
+	defer e.lock.Unlock()
+	return slices.Clone(e.got[caller])
+}
+
+func (e *echo) ServeHTTP(w http.ResponseWriter, r *http.Request) {
+	b, err := io.ReadAll(r.Body)
+	e.lock.Lock()
+	e.got[r.RemoteAddr] = append(e.got[r.RemoteAddr], fmt.Sprintf("%s %s %s %q %v", r.Method, r.RequestURI, r.Host, b, err == nil))
+	e.lock.Unlock()
+	switch r.URL.Path {
+	case "/empty":
+		w.WriteHeader(http.StatusNoContent)
+	case "/stated":
+		w.Header().Set("Content-Length", "5")
+		_, _ = io.WriteString(w, "12345")
+	case "/short":
+		w.Header().Set("Content-Length", "9")
+		_, _ = io.WriteString(w, "12345")
+	case "/long":
+		_, _ = io.WriteString(w, strings.Repeat("x", 10_000))
+	case "/trailer":
+		_, _ = io.WriteString(w, strings.Repeat("x", 3_000))
+		w.Header().Set(http.TrailerPrefix+"Sum", "7")
+	case "/close":
+		w.Header().Set("Connection", "close")
+	default:
+		fmt.Fprintf(w, "%s %s", r.Method, b)
+	}
+}
+
+// clear forgets all callers: the ports of those that left are used again.
+func (e *echo) clear() {
+	e.lock.Lock()
+	defer e.lock.Unlock()
+	clear(e.got)
+}
+
+// conversation is what came over one connection.
+type conversation struct {
+	caller  string
+	answers []answered
+	// left tells that the caller left before the server ended the connection.
+	left bool
+}
+
+// answered is what a caller sees of one answer.
+type answered struct {
+	status  int
+	body    string
+	whole   bool
+	closes  bool
+	trailer string
+}
+
+// converse sends a text and reads all answers until the server ends the connection, at
+// the latest when it was idle for idleLimit. Methods are those of the requests.
+func converse(t testing.TB, address, text string, methods ...string) conversation {
+	t.Helper()
+	return converseFor(t, patience, address, text, methods...)
+}
+
+// converseFor is converse that leaves after a while.
+func converseFor(t testing.TB, d time.Duration, address, text string, methods ...string) (v conversation) {
+	t.Helper()
+	c, err := net.Dial("tcp", address)
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer c.Close()
+	v.caller = c.LocalAddr().String()
+	_ = c.SetDeadline(time.Now().Add(d))
+	if _, err := io.WriteString(c, text); err != nil {
+		return v
+	}
+	r := bufio.NewReader(c)
+	for i := 0; ; i++ {
+		method := http.MethodGet
+		if i < len(methods) {
+			method = methods[i]
+		}
+		p, err := http.ReadResponse(r, &http.Request{Method: method})
+		if err != nil {
+			v.left = errors.Is(err, os.ErrDeadlineExceeded)
+			return v
+		}
+		b, err := io.ReadAll(p.Body)
+		v.answers = append(v.answers, answered{p.StatusCode, string(b), err == nil, p.Close, p.Trailer.Get("Sum")})
+	}
+}
+
+// servers starts both servers over handlers of their own.
+func servers(t testing.TB) (ours, standard string, gotOurs, gotStandard *echo) {
+	t.Helper()
+	gotOurs, gotStandard = &echo{got: map[string][]string{}}, &echo{got: map[string][]string{}}
+	limit := func() timekeeper.Millis { return idleLimit }
+	s := &pipeliner.Server{Handler: gotOurs, MaxHeadBytes: maxHead, IdleTimeout: limit, HeadTimeout: limit}
+	ours = listen(t, s.Serve)
+	t.Cleanup(s.Close)
+	h := &http.Server{
+		Handler: gotStandard, MaxHeaderBytes: maxHead - 4<<10, ErrorLog: log.New(io.Discard, "", 0),
+		IdleTimeout: idleLimit.Duration(), ReadHeaderTimeout: idleLimit.Duration(),
+	}
+	standard = listen(t, h.Serve)
+	t.Cleanup(func() { h.Close() })
+	return ours, standard, gotOurs, gotStandard
+}
+
+const host = "Host: x\r\n"
+
+// TestLikeTheStandardServer sends the same bytes to this server and to that of
+// net/http, and compares what handlers get and callers see.
+func TestLikeTheStandardServer(t *testing.T) {
+	for _, c := range []struct {
+		name, text string
+		methods    []string
+	}{
+		{"plain", "GET /x HTTP/1.1\r\n" + host + "\r\n", nil},
+		{"body", "POST /x HTTP/1.1\r\n" + host + "Content-Length: 4\r\n\r\nbody", nil},
+		{"chunks", "POST /x HTTP/1.1\r\n" + host + "Transfer-Encoding: chunked\r\n\r\n4\r\nbody\r\n0\r\n\r\n", nil},
+		{"two behind each other", "GET /a HTTP/1.1\r\n" + host + "\r\nPOST /b HTTP/1.1\r\n" + host + "Content-Length: 1\r\n\r\nzGET /c HTTP/1.1\r\n" + host + "\r\n", nil},
+		{"empty line between", "POST /b HTTP/1.1\r\n" + host + "Content-Length: 1\r\n\r\nz\r\nGET /c HTTP/1.1\r\n" + host + "\r\n", nil},
+		{"caller closes", "GET /a HTTP/1.1\r\n" + host + "Connection: close\r\n\r\nGET /b HTTP/1.1\r\n" + host + "\r\n", nil},
+		{"handler closes", "GET /close HTTP/1.1\r\n" + host + "\r\nGET /b HTTP/1.1\r\n" + host + "\r\n", nil},
+		{"HTTP/1.0", "GET /a HTTP/1.0\r\n\r\nGET /b HTTP/1.0\r\n\r\n", nil},
+		{"HTTP/1.0 long", "GET /long HTTP/1.0\r\n\r\n", nil},
+		{"HTTP/1.0 kept", "GET /a HTTP/1.0\r\nConnection: keep-alive\r\n\r\nGET /b HTTP/1.0\r\n\r\n", nil},
+		{"HTTP/1.0 kept, long", "GET /long HTTP/1.0\r\nConnection: keep-alive\r\n\r\nGET /b HTTP/1.0\r\n\r\n", nil},
+		{"HEAD", "HEAD /stated HTTP/1.1\r\n" + host + "\r\nGET /b HTTP/1.1\r\n" + host + "\r\n", []string{"HEAD", "GET"}},
+		{"no content", "GET /empty HTTP/1.1\r\n" + host + "\r\nGET /b HTTP/1.1\r\n" + host + "\r\n", nil},
+		{"stated length", "GET /stated HTTP/1.1\r\n" + host + "\r\n", nil},
+		{"less than stated", "GET /short HTTP/1.1\r\n" + host + "\r\nGET /b HTTP/1.1\r\n" + host + "\r\n", nil},
+		{"long without length", "GET /long HTTP/1.1\r\n" + host + "\r\nGET /b HTTP/1.1\r\n" + host + "\r\n", nil},
+		{"trailer", "GET /trailer HTTP/1.1\r\n" + host + "\r\n", nil},
+		{"upgrade", "GET /x HTTP/1.1\r\n" + host + "Connection: upgrade\r\nUpgrade: other\r\n\r\n", nil},
+		{"continue", "POST /x HTTP/1.1\r\n" + host + "Expect: 100-continue\r\nContent-Length: 4\r\n\r\nbody", nil},
+		{"unknown expectation", "POST /x HTTP/1.1\r\n" + host + "Expect: money\r\nContent-Length: 4\r\n\r\nbody", nil},
+		{"no host", "GET /x HTTP/1.1\r\n\r\n", nil},
+		{"two hosts", "GET /x HTTP/1.1\r\n" + host + host + "\r\n", nil},
+		{"bad host", "GET /x HTTP/1.1\r\nHost: a b\r\n\r\n", nil},
+		{"two lengths", "POST /x HTTP/1.1\r\n" + host + "Content-Length: 3\r\nContent-Length: 4\r\n\r\nabcd", nil},
+		{"unknown coding", "POST /x HTTP/1.1\r\n" + host + "Transfer-Encoding: xchunked\r\n\r\n3\r\nabc\r\n0\r\n\r\n", nil},
+		{"two codings", "POST /x HTTP/1.1\r\n" + host + "Transfer-Encoding: gzip, chunked\r\n\r\n3\r\nabc\r\n0\r\n\r\n", nil},
+		{"bad length", "POST /x HTTP/1.1\r\n" + host + "Content-Length: +3\r\n\r\nabc", nil},
+		{"blank before colon", "POST /x HTTP/1.1\r\n" + host + "Content-Length : 3\r\n\r\nabc", nil},
+		{"bare CR in a value", "GET /x HTTP/1.1\r\n" + host + "A: b\rGET /y HTTP/1.1\r\n\r\n", nil},
+		{"bare CR in the path", "GET /x\r HTTP/1.1\r\n" + host + "\r\n", nil},
+		{"folded field", "GET /x HTTP/1.1\r\n" + host + "A: b\r\n c\r\n\r\n", nil},
+		{"bare LF", "GET /x HTTP/1.1\nHost: x\n\n", nil},
+		{"request in a body", "POST /x HTTP/1.1\r\n" + host + "Content-Length: 31\r\n\r\nGET /in HTTP/1.1\r\nHost: inside\r\n", nil},
+		{"bad chunk", "POST /x HTTP/1.1\r\n" + host + "Transfer-Encoding: chunked\r\n\r\nzz\r\nbody\r\n0\r\n\r\nGET /b HTTP/1.1\r\n" + host + "\r\n", nil},
+		{"no method", " /x HTTP/1.1\r\n" + host + "\r\n", nil},
+		{"other version", "GET /x HTTP/2.0\r\n" + host + "\r\n", nil},
+		{"no version", "GET /x\r\n\r\n", nil},
+		{"huge head", "GET /x HTTP/1.1\r\n" + host + "A: " + strings.Repeat("x", 2*maxHead) + "\r\n\r\n", nil},
+		{"head over the read buffer", "GET /x HTTP/1.1\r\n" + host + "A: " + strings.Repeat("x", maxHead-3000) + "\r\n\r\nGET /b HTTP/1.1\r\n" + host + "\r\n", nil},
+	} {
+		t.Run(c.name, func(t *testing.T) {
+			t.Parallel()
+			is := is.New(t)
+			ours, standard, gotOurs, gotStandard := servers(t)
+			a, b := converse(t, ours, c.text, c.methods...), converse(t, standard, c.text, c.methods...)
+			compare(t, a.answers, b.answers)
+			is.Equal(gotOurs.of(a.caller), gotStandard.of(b.caller))
+		})
+	}
+}
+
+// compare wants the same answers. The text of a refusal may differ.
+func compare(t *testing.T, ours, standard []answered) {
+	t.Helper()
+	for _, l := range [][]answered{ours, standard} {
+		for i := range l {
+			if l[i].status >= 400 {
+				l[i].body = ""
+			}
+		}
+	}
+	if !slices.Equal(ours, standard) {
+		t.Fatalf("callers see\n%+v, of the standard server\n%+v", ours, standard)
+	}
+}
+
+// TestTwoLengthsAreRefused differs from the standard server, which drops the length.
+func TestTwoLengthsAreRefused(t *testing.T) {
+	is := is.New(t)
+	ours, _, got, _ := servers(t)
+	for _, name := range []string{"Content-Length", "content-length", "CONTENT-LENGTH"} {
+		a := converse(t, ours, "POST /x HTTP/1.1\r\n"+host+name+": 3\r\nTransfer-Encoding: chunked\r\n\r\n3\r\nabc\r\n0\r\n\r\n").answers
+		is.Equal(len(a), 1)
+		is.Equal(a[0].status, http.StatusBadRequest)
+		is.True(a[0].closes)
+	}
+	is.Equal(len(got.got), 0)
+}
--- a/internal/process/fronter/fronter.go
+++ b/internal/process/fronter/fronter.go
@@ -11,7 +11,7 @@
 	"github.com/sirupsen/logrus"
 	"golang.org/x/time/rate"
 
-	"github.com/gullvale/gullvale/internal/connection/guarder"
+	"github.com/gullvale/gullvale/internal/connection/pipeliner"
 	"github.com/gullvale/gullvale/internal/connection/tracker"
 	"github.com/gullvale/gullvale/internal/process/heartbeater"
 	"github.com/gullvale/gullvale/internal/process/measurer"
@@ -27,6 +27,10 @@
 	// says.
 	maxHeaderBytes = 1 << 20
 
+	// checkIdleTimeout is how long connections of look-ups, checks and metrics may be
+	// idle: checks come every second, look-ups every few.
+	checkIdleTimeout = 30 * time.Second
+
 	// sweepEvery is how often idle connections are looked through.
 	sweepEvery = time.Second
 
@@ -103,7 +107,8 @@
 		clock      timekeeper.Clock
 		upstreams  *tracker.Set
 		dispatcher *dispatcher.Dispatcher
-		servers    []*http.Server
+		// shutdowns stop the listeners without cutting a request.
+		shutdowns []func(context.Context) error
 		// addresses are where the listeners are, in the order of the options.
 		addresses []string
 		cancel    context.CancelFunc
@@ -132,6 +137,7 @@
 			Limits: f.retryLimits,
 		},
 		LeavingAt: f.LeavingAt,
+		Waited:    pipeliner.Waited,
 		Decided:   f.logDecision,
 		Meter:     f.Meter,
 	}
@@ -182,29 +188,42 @@
 func (f *Fronter) Start() error {
 	ctx, cancel := context.WithCancel(context.Background())
 	f.cancel = cancel
-	listeners := []struct {
+	if err := f.startListeners(); err != nil {
+		cancel()
+		return err
+	}
+	go f.loopSweep(ctx)
+	go f.loopMembers(ctx)
+	if f.options.Homes != nil {
+		go f.loopForget(ctx)
+	}
+	return nil
+}
+
+func (f *Fronter) startListeners() error {
+	if f.options.Front != "" {
+		s := f.callers()
+		if err := f.listen(f.options.Front, s.Serve, s.Shutdown); err != nil {
+			return err
+		}
+	}
+	others := []struct {
 		address string
 		handler http.Handler
 	}{
-		{f.options.Front, f.dispatcher},
 		{f.options.Ready, f.readyHandler()},
 		{f.options.Directory, f.options.LookUp},
 		{f.options.Metrics, f.metricsHandler()},
 	}
-	for _, l := range listeners {
-		if l.address == "" {
+	for _, o := range others {
+		if o.address == "" {
 			continue
 		}
-		if err := f.listen(l.address, l.handler); err != nil {
-			cancel()
+		s := &http.Server{Handler: o.handler, MaxHeaderBytes: maxHeaderBytes, IdleTimeout: checkIdleTimeout}
+		if err := f.listen(o.address, s.Serve, s.Shutdown); err != nil {
 			return err
 		}
 	}
-	go f.loopSweep(ctx)
-	go f.loopMembers(ctx)
-	if f.options.Homes != nil {
-		go f.loopForget(ctx)
-	}
 	return nil
 }
 
@@ -237,41 +256,63 @@
 func (f *Fronter) closeListeners(end timekeeper.Millis) {
 	ctx, cancel := context.WithTimeout(context.Background(), max(end-f.clock.Now(), 0).Duration())
 	defer cancel()
-	done := make(chan struct{}, len(f.servers))
-	for _, s := range f.servers {
-		go runShutdown(ctx, s, done)
+	done := make(chan struct{}, len(f.shutdowns))
+	for _, s := range f.shutdowns {
+		go f.runShutdown(ctx, s, done)
 	}
-	for range f.servers {
+	for range f.shutdowns {
 		<-done
 	}
 }
 
-func runShutdown(ctx context.Context, s *http.Server, done chan<- struct{}) {
-	_ = s.Shutdown(ctx)
+func (f *Fronter) runShutdown(ctx context.Context, shutdown func(context.Context) error, done chan<- struct{}) {
+	if err := shutdown(ctx); err != nil {
+		f.options.Log.WithError(err).Warn("listener stopped before all its requests ended")
+	}
 	done <- struct{}{}
 }
 
-func (f *Fronter) listen(address string, h http.Handler) error {
+// callers is the server of callers' requests.
+func (f *Fronter) callers() *pipeliner.Server {
+	return &pipeliner.Server{
+		Handler:      f.dispatcher,
+		MayOverlap:   f.dispatcher.MayOverlap,
+		Leaving:      func() bool { return f.LeavingAt() != 0 },
+		HeadTimeout:  func() timekeeper.Millis { return f.limits().HeaderTimeout },
+		IdleTimeout:  func() timekeeper.Millis { return f.limits().IdleTimeout },
+		MaxHeadBytes: maxHeaderBytes,
+		Refused: func(k pipeliner.Kind) {
+			f.Meter.Count("heads_refused", measurer.Labels{Kind: string(k)})
+		},
+		Failed: func(reason any) {
+			f.options.Log.WithField("reason", reason).Error("request handler panicked")
+		},
+		Clock: f.clock,
+	}
+}
+
+// limits are those of the configuration in force, none if none is known.
+func (f *Fronter) limits() matcher.Limits {
+	if c := f.Config(); c != nil {
+		return c.Limits
+	}
+	return matcher.Limits{}
+}
+
+// listen opens a listener that a server serves until it is shut down.
+func (f *Fronter) listen(address string, serve func(net.Listener) error, shutdown func(context.Context) error) error {
 	l, err := net.Listen("tcp", address)
 	if err != nil {
 		return eris.Wrap(err, "listen")
 	}
-	s := &http.Server{
-		Handler:        h,
-		MaxHeaderBytes: maxHeaderBytes,
-		IdleTimeout:    idlePlaceholder,
-		ErrorLog:       nil,
-		ConnContext:    guarder.ConnContext,
-		ConnState:      guarder.ConnState,
-	}
-	f.servers = append(f.servers, s)
+	f.shutdowns = append(f.shutdowns, shutdown)
 	f.addresses = append(f.addresses, l.Addr().String())
-	go f.runServer(s, guarder.Listener{Listener: limitListener{l, f}})
+	go f.runServer(serve, l)
 	return nil
 }
 
-func (f *Fronter) runServer(s *http.Server, l net.Listener) {
-	if err := s.Serve(l); err != nil && !eris.Is(err, http.ErrServerClosed) {
+func (f *Fronter) runServer(serve func(net.Listener) error, l net.Listener) {
+	if err := serve(l); err != nil && !eris.Is(err, http.ErrServerClosed) {
 		f.options.Log.WithError(err).Error("listener ended")
 	}
 }
@@ -330,7 +371,7 @@
 		"id": e.ID, "route": e.Route, "service": e.Service, "class": e.Class,
 		"config": e.Config, "catalog": e.Catalog, "upstream": e.Upstream, "site": e.Site, "key": e.Key,
 		"tries": e.Tries, "outcome": e.Outcome, "reason": e.Reason, "status": e.Status,
-		"ms": int64(e.Took), "load": e.Load, "own": e.Own,
+		"ms": int64(e.Took), "objective": int64(e.Objective), "waited": int64(e.Waited), "sentAfter": int64(e.SentAfter), "load": e.Load, "own": e.Own,
 	}).Info("request")
 }
 
--- a/internal/request/dispatcher/answer.go
+++ b/internal/request/dispatcher/answer.go
@@ -211,6 +211,9 @@
 func (d *Dispatcher) measure(e *Decision) {
 	l := measurer.Labels{Service: e.Service, Class: e.Class, Kind: e.Outcome}
 	d.Meter.Observe("request_seconds", l, e.Took.Duration())
+	if e.SentAfter >= 0 {
+		d.Meter.Observe("first_send_seconds", l, e.SentAfter.Duration())
+	}
 	if e.Reason != "" {
 		l.Kind = e.Reason
 		d.Meter.Count("request_reasons", l)
--- a/internal/request/dispatcher/dispatcher.go
+++ b/internal/request/dispatcher/dispatcher.go
@@ -57,6 +57,9 @@
 		Retries *Retries
 		// LeavingAt returns when this process ends, 0 if it was not asked to.
 		LeavingAt func() timekeeper.Millis
+		// Waited returns how long a request waited for others of its connection before
+		// it came here. Nil means not at all.
+		Waited func(http.ResponseWriter) timekeeper.Millis
 		// Decided is told how each request ended. Nil means nobody wants to
 		// know.
 		Decided func(*Decision)
@@ -84,6 +87,13 @@
 		Reason   string
 		Status   int
 		Took     timekeeper.Millis
+		// Objective is within which time the answer is worth its full price.
+		Objective timekeeper.Millis
+		// Waited is the part of Took that the request waited for others of its
+		// connection, and SentAfter how long after its arrival it was first sent, -1 if
+		// it was not.
+		Waited    timekeeper.Millis
+		SentAfter timekeeper.Millis
 		// Load and Own are what was known of Upstream.
 		Load float64
 		Own  int
@@ -99,11 +109,27 @@
 func (d *Dispatcher) ServeHTTP(w http.ResponseWriter, r *http.Request) {
 	d.active.Add(1)
 	defer d.active.Add(-1)
-	x := &exchange{d: d, w: w, r: r, began: d.Clock.Now()}
+	x := &exchange{d: d, w: w, r: r, began: d.Clock.Now(), sentAfter: -1}
+	if d.Waited != nil {
+		x.waited = d.Waited(w)
+		x.began -= x.waited
+	}
 	defer x.record()
 	x.serve()
 }
 
+// MayOverlap tells whether a request may be handled beside others of its connection: one
+// that may be repeated, since a caller repeats what it finds unanswered behind a broken
+// answer. A request without a route waits.
+func (d *Dispatcher) MayOverlap(r *http.Request) bool {
+	c := d.Config()
+	if c == nil {
+		return false
+	}
+	route := c.Match(r.Host, pathOf(r))
+	return route != nil && route.Kind.Repeatable()
+}
+
 func (d *Dispatcher) leavingAt() timekeeper.Millis {
 	if d.LeavingAt == nil {
 		return 0
--- a/internal/request/dispatcher/exchange.go
+++ b/internal/request/dispatcher/exchange.go
@@ -63,10 +63,15 @@
 
 // exchange is one request of a caller on its way.
 type exchange struct {
-	d     *Dispatcher
-	w     http.ResponseWriter
-	r     *http.Request
-	began timekeeper.Millis
+	d *Dispatcher
+	w http.ResponseWriter
+	r *http.Request
+	// began is when the request arrived, and waited how long it waited since for others
+	// of its connection.
+	began  timekeeper.Millis
+	waited timekeeper.Millis
+	// sentAfter is how long after its arrival it was first sent, -1 if it was not.
+	sentAfter timekeeper.Millis
 
 	config *matcher.Config
 	route  *matcher.Route
@@ -98,6 +103,7 @@
 	e := &x.decision
 	e.ID = x.r.Header.Get(x.d.Fields.RequestID)
 	e.Took = x.d.Clock.Now() - x.began
+	e.Waited, e.SentAfter = x.waited, x.sentAfter
 	e.Tries = len(x.tried)
 	x.d.measure(e)
 	if x.d.Decided != nil {
@@ -138,8 +144,7 @@
 	if x.config == c {
 		return true
 	}
-	path, _, _ := strings.Cut(x.r.RequestURI, "?")
-	x.config, x.route = c, c.Match(x.r.Host, path)
+	x.config, x.route = c, c.Match(x.r.Host, pathOf(x.r))
 	x.decision.Config = c.Version
 	if x.route == nil {
 		x.refuse(http.StatusNotFound, "no route", 0)
@@ -148,9 +153,16 @@
 	x.setKey()
 	x.part = x.route.Service(x.key)
 	x.decision.Route, x.decision.Service, x.decision.Class = x.route.Name, string(x.part), x.route.Kind.String()
+	x.decision.Objective = x.route.Objective
 	return true
 }
 
+// pathOf is the path as it was received: routes go by what upstreams get.
+func pathOf(r *http.Request) string {
+	path, _, _ := strings.Cut(r.RequestURI, "?")
+	return path
+}
+
 // setKey takes the key that the caller names, or one of the request's own.
 func (x *exchange) setKey() {
 	f := x.d.Fields
--- a/internal/request/dispatcher/send.go
+++ b/internal/request/dispatcher/send.go
@@ -98,7 +98,13 @@
 	if x.d.Catalog().Usable(u.Incarnation()) == nil {
 		return false
 	}
-	return x.d.Config() == x.config
+	if x.d.Config() != x.config {
+		return false
+	}
+	if x.sentAfter < 0 {
+		x.sentAfter = x.d.Clock.Now() - x.began
+	}
+	return true
 }
 
 // lost handles a request that was sent and got no answer.
