fronter, platform: an entry serves when it knows where keys live

Cause: after the loss of all VMs each learned its configuration 0.17 to 0.35 s after its start and the homes of keys only 15 to 220 ms later, from a list that was seconds old; keys that came between settled elsewhere. Requests that came before the configuration were refused, to come back 0.5 s later to another entry that starts as well: 38 of 330 in the two seconds after.

Change: homes are read beside the lists at the start, and not stale. A request that comes before all is known waits for it, up to 1 s after the process began; a longer start refuses at once. Without homes after 0.6 s the entry serves without.

Ruled out: readiness at the first list only (keys settle elsewhere).

--- a/internal/process/follower/follow.go
+++ b/internal/process/follower/follow.go
@@ -172,6 +172,7 @@
 		return
 	}
 	t.Fill(&f.front.Catalog, f.clock.Now())
+	f.front.SetHomed()
 	f.front.SetListed()
 	log.Info("configuration in force")
 }
--- a/internal/process/fronter/fronter.go
+++ b/internal/process/fronter/fronter.go
@@ -89,7 +89,7 @@
 		Bounds  func() Bounds
 		// Homes knows where keys live.
 		Homes *assigner.Assigner
-		// Changed is told that the entry became ready or stopped being so.
+		// Changed is told that the entry became ready.
 		Changed func()
 
 		Log *logrus.Logger
@@ -102,7 +102,7 @@
 
 		options    Options
 		config     atomic.Pointer[matcher.Config]
-		listed     atomic.Bool
+		start      start
 		leavingAt  atomic.Int64
 		clock      timekeeper.Clock
 		upstreams  *tracker.Set
@@ -123,6 +123,7 @@
 // New builds an entry. It opens no listener yet.
 func New(o Options) *Fronter {
 	f := &Fronter{options: o, Meter: measurer.New(), lines: rate.NewLimiter(linesPerSecond, linesAtOnce)}
+	f.start.began, f.start.done = f.clock.Now(), make(chan struct{})
 	f.upstreams = &tracker.Set{Dial: dial}
 	f.dispatcher = &dispatcher.Dispatcher{
 		Config:    f.Config,
@@ -137,6 +138,7 @@
 			Limits: f.retryLimits,
 		},
 		LeavingAt: f.LeavingAt,
+		Start:     f.awaitStart,
 		Waited:    pipeliner.Waited,
 		Decided:   f.logDecision,
 		Meter:     f.Meter,
@@ -157,26 +159,15 @@
 			return false
 		}
 		if f.config.CompareAndSwap(old, c) {
-			f.changed(old == nil)
+			f.advance()
 			return true
 		}
 	}
 }
 
-// SetListed says that the upstreams are known.
-func (f *Fronter) SetListed() {
-	f.changed(!f.listed.Swap(true))
-}
-
-func (f *Fronter) changed(news bool) {
-	if news && f.Ready() && f.options.Changed != nil {
-		go f.options.Changed()
-	}
-}
-
 // Ready tells whether the entry serves callers.
 func (f *Fronter) Ready() bool {
-	return f.Config() != nil && f.listed.Load() && f.LeavingAt() == 0
+	return f.started() && f.LeavingAt() == 0
 }
 
 // LeavingAt returns when the process ends, 0 if it was not asked to.
--- a/internal/request/dispatcher/dispatcher.go
+++ b/internal/request/dispatcher/dispatcher.go
@@ -1,6 +1,7 @@
 package dispatcher
 
 import (
+	"context"
 	"net/http"
 	"sync/atomic"
 
@@ -57,6 +58,9 @@
 		Retries *Retries
 		// LeavingAt returns when this process ends, 0 if it was not asked to.
 		LeavingAt func() timekeeper.Millis
+		// Start waits, for a bounded time, until the entry knows what it needs to place
+		// requests. Nil means that it does.
+		Start func(context.Context)
 		// Waited returns how long a request waited for others of its connection before
 		// it came here. Nil means not at all.
 		Waited func(http.ResponseWriter) timekeeper.Millis
@@ -115,6 +119,9 @@
 		x.began -= x.waited
 	}
 	defer x.record()
+	if d.Start != nil {
+		d.Start(r.Context())
+	}
 	x.serve()
 }
 
