assigner: keys of the tightest routes stay in a region that is too small

Which keys went there was drawn by hash, alike for an objective of 250 ms and of 600.

Change: what a region carries is filled with its routes in the order of their objectives; work is observed, as requests times objective.

Test: TestTightRoutesStayNear.

--- a/internal/request/assigner/assigner.go
+++ b/internal/request/assigner/assigner.go
@@ -6,6 +6,7 @@
 
 	"github.com/gullvale/gullvale/internal/request/placer"
 	"github.com/gullvale/gullvale/internal/version/cataloger"
+	"github.com/gullvale/gullvale/internal/version/resolver"
 	"github.com/gullvale/gullvale/pkg/hasher"
 	"github.com/gullvale/gullvale/pkg/timekeeper"
 )
@@ -56,6 +57,7 @@
 		lock    sync.Mutex
 		homes   map[hasher.Hash]*home
 		loads   map[hasher.Hash]float64
+		demands map[resolver.ServiceName]demands
 		base    timekeeper.Millis
 		tokens  float64
 		refill  timekeeper.Millis
@@ -76,19 +78,20 @@
 
 // Home returns the upstream that a key has, and gives it one if it has none that
 // takes work.
-func (a *Assigner) Home(key hasher.Hash, all []*cataloger.Upstream, allowed func(region string) bool) *cataloger.Upstream {
+func (a *Assigner) Home(key hasher.Hash, r Request, all []*cataloger.Upstream) *cataloger.Upstream {
 	now := a.Clock.Now()
 	a.lock.Lock()
 	defer a.lock.Unlock()
 	a.begin(now)
+	a.demands[r.Service] = a.demands[r.Service].note(r, a.unit(now))
 	h := a.homes[key]
 	var u *cataloger.Upstream
 	if h != nil {
-		u = find(all, h.upstream, allowed)
+		u = find(all, h.upstream, r.Allowed)
 	}
 	if u == nil {
-		u = a.settle(key, h, all, allowed, now)
-	} else if v := a.relief(key, u, all, allowed, now); v != nil {
+		u = a.settle(key, h, r, all, now)
+	} else if v := a.relief(key, u, r, all, now); v != nil {
 		u = v
 		a.move(key, h, v)
 	}
@@ -181,13 +184,13 @@
 }
 
 // settle gives a key a home among the upstreams that its hash prefers.
-func (a *Assigner) settle(key hasher.Hash, h *home, all []*cataloger.Upstream, allowed func(string) bool, now timekeeper.Millis) *cataloger.Upstream {
-	u := a.least(a.candidates(key, all, allowed))
+func (a *Assigner) settle(key hasher.Hash, h *home, r Request, all []*cataloger.Upstream, now timekeeper.Millis) *cataloger.Upstream {
+	u := a.least(a.candidates(key, r, all))
 	if u == nil {
 		return nil
 	}
 	if h != nil {
-		if v := a.least(h.known(nil, all, allowed)); v != nil && !a.crowds(v, u, h) {
+		if v := a.least(h.known(nil, all, r.Allowed)); v != nil && !a.crowds(v, u, h) {
 			u = v
 		}
 		a.move(key, h, u)
@@ -204,26 +207,26 @@
 
 // candidates are the upstreams that a key's hash prefers in the region that it
 // belongs to.
-func (a *Assigner) candidates(key hasher.Hash, all []*cataloger.Upstream, allowed func(string) bool) []*cataloger.Upstream {
+func (a *Assigner) candidates(key hasher.Hash, r Request, all []*cataloger.Upstream) []*cataloger.Upstream {
 	var fit []*cataloger.Upstream
 	for _, u := range all {
-		if allowed(u.Site.Region()) {
+		if r.Allowed(u.Site.Region()) {
 			fit = append(fit, u)
 		}
 	}
-	region := newSpread(a.Region, a.Regions, fit).home(key)
-	return placer.List(nil, key, fit, func(r string) bool { return r == region })
+	region := a.spread(r, fit).home(key)
+	return placer.List(nil, key, fit, func(name string) bool { return name == region })
 }
 
 // relief returns a candidate with much less load than the home of a key, nil if
 // there is none or no more keys may move now.
-func (a *Assigner) relief(key hasher.Hash, u *cataloger.Upstream, all []*cataloger.Upstream, allowed func(string) bool, now timekeeper.Millis) *cataloger.Upstream {
+func (a *Assigner) relief(key hasher.Hash, u *cataloger.Upstream, r Request, all []*cataloger.Upstream, now timekeeper.Millis) *cataloger.Upstream {
 	if now-a.looked < reliefEvery || a.allowance(now) < 1 {
 		return nil
 	}
 	a.looked = now
 	h := a.homes[key]
-	for _, l := range [][]*cataloger.Upstream{h.known(nil, all, allowed), a.candidates(key, all, allowed)} {
+	for _, l := range [][]*cataloger.Upstream{h.known(nil, all, r.Allowed), a.candidates(key, r, all)} {
 		if v := a.least(l); v != nil && v != u && a.crowds(u, v, h) {
 			a.take(now)
 			return v
@@ -287,6 +290,7 @@
 func (a *Assigner) begin(now timekeeper.Millis) {
 	if a.homes == nil {
 		a.homes, a.loads = map[hasher.Hash]*home{}, map[hasher.Hash]float64{}
+		a.demands = map[resolver.ServiceName]demands{}
 		a.base, a.refill = now, now
 	}
 	if now-a.base > 100*memory {
@@ -302,6 +306,11 @@
 		h.weight *= f
 		a.loads[h.upstream] += h.weight
 	}
+	for _, d := range a.demands {
+		for i := range d {
+			d[i].work *= f
+		}
+	}
 	a.base = now
 }
 
--- a/internal/request/assigner/assigner_test.go
+++ b/internal/request/assigner/assigner_test.go
@@ -52,6 +52,9 @@
 
 func anywhere(string) bool { return true }
 
+// toAnywhere is a request of the only route there is.
+var toAnywhere = assigner.Request{Service: "s", Route: "r", Objective: 500, Allowed: anywhere}
+
 func key(i int) hasher.Hash { return hasher.OfString(fmt.Sprint("key", i)) }
 
 // spreadOf returns the most keys on one upstream over the mean.
@@ -80,7 +83,7 @@
 	i := 0
 	byHome := spreadOf(w.all, 450, func(k hasher.Hash) *cataloger.Upstream {
 		i++
-		return of[regions[i%len(regions)]].Home(k, w.all, anywhere)
+		return of[regions[i%len(regions)]].Home(k, toAnywhere, w.all)
 	})
 	t.Logf("most over mean: by hash %.2f, with homes %.2f", byHash, byHome)
 	is.True(byHash > 1.35)
@@ -94,7 +97,7 @@
 	local := func(region string) (n int) {
 		a := w.assigner(region)
 		for i := range 600 {
-			if a.Home(key(i), w.all, anywhere).Site.Region() == region {
+			if a.Home(key(i), toAnywhere, w.all).Site.Region() == region {
 				n++
 			}
 		}
@@ -112,12 +115,12 @@
 	a := w.assigner("east")
 	first := map[int]*cataloger.Upstream{}
 	for i := range 50 {
-		first[i] = a.Home(key(i), w.all, anywhere)
+		first[i] = a.Home(key(i), toAnywhere, w.all)
 	}
 	for range 200 {
 		w.now += 20
 		for i := range 50 {
-			is.Equal(a.Home(key(i), w.all, anywhere), first[i])
+			is.Equal(a.Home(key(i), toAnywhere, w.all), first[i])
 		}
 	}
 }
@@ -126,18 +129,18 @@
 	is := is.New(t)
 	w := newWorld(4)
 	a := w.assigner("east")
-	gone := a.Home(key(1), w.all, anywhere)
+	gone := a.Home(key(1), toAnywhere, w.all)
 	var rest []*cataloger.Upstream
 	for _, u := range w.all {
 		if u != gone {
 			rest = append(rest, u)
 		}
 	}
-	next := a.Home(key(1), rest, anywhere)
+	next := a.Home(key(1), toAnywhere, rest)
 	is.True(next != gone)
 	// It does not move back when the other returns: that would cost a second
 	// run without memory.
-	is.Equal(a.Home(key(1), w.all, anywhere), next)
+	is.Equal(a.Home(key(1), toAnywhere, w.all), next)
 }
 
 // A hot upstream gives keys away, no more than a few in a second.
@@ -148,7 +151,7 @@
 	var hot *cataloger.Upstream
 	var kept []int
 	for i := range 200 {
-		u := a.Home(key(i), w.all, anywhere)
+		u := a.Home(key(i), toAnywhere, w.all)
 		if hot == nil {
 			hot = u
 		}
@@ -161,11 +164,11 @@
 	moved := func(seconds int) (n int) {
 		for range seconds * 100 {
 			w.now += 10
-			a.Home(key(kept[turn%len(kept)]), w.all, anywhere)
+			a.Home(key(kept[turn%len(kept)]), toAnywhere, w.all)
 			turn++
 		}
 		for _, i := range kept {
-			if a.Home(key(i), w.all, anywhere) != hot {
+			if a.Home(key(i), toAnywhere, w.all) != hot {
 				n++
 			}
 		}
@@ -187,7 +190,7 @@
 		if i%2 == 1 {
 			first, second = b, a
 		}
-		is.Equal(first.Home(key(i), w.all, anywhere), second.Home(key(i), w.all, anywhere))
+		is.Equal(first.Home(key(i), toAnywhere, w.all), second.Home(key(i), toAnywhere, w.all))
 	}
 	// Homes chosen at the same moment on both sides converge.
 	c, d := w.assigner("east"), w.assigner("east")
@@ -195,13 +198,13 @@
 	c.Announce = func(l []assigner.Assignment) { ofC = append(ofC, l...) }
 	d.Announce = func(l []assigner.Assignment) { ofD = append(ofD, l...) }
 	for i := range 50 {
-		c.Home(key(i), w.all, anywhere)
-		d.Home(key(49-i), w.all, anywhere)
+		c.Home(key(i), toAnywhere, w.all)
+		d.Home(key(49-i), toAnywhere, w.all)
 	}
 	c.Learn(ofD)
 	d.Learn(ofC)
 	for i := range 50 {
-		is.Equal(c.Home(key(i), w.all, anywhere), d.Home(key(i), w.all, anywhere))
+		is.Equal(c.Home(key(i), toAnywhere, w.all), d.Home(key(i), toAnywhere, w.all))
 	}
 }
 
@@ -210,7 +213,7 @@
 	w := newWorld(24)
 	a := w.assigner("east")
 	for i := range assigner.MaxKeys {
-		a.Home(key(i), w.all, anywhere)
+		a.Home(key(i), toAnywhere, w.all)
 	}
 	for b.Loop() {
 		a.Forget()
@@ -225,7 +228,7 @@
 			a := w.assigner("east")
 			k := key(1)
 			for b.Loop() {
-				a.Home(k, w.all, anywhere)
+				a.Home(k, toAnywhere, w.all)
 			}
 		})
 	}
@@ -245,7 +248,7 @@
 	ask := func(all []*cataloger.Upstream) (anew int) {
 		for i := range 200 {
 			w.now += 5
-			u := a.Home(key(i), all, anywhere)
+			u := a.Home(key(i), toAnywhere, all)
 			if !ran[key(i)][u] {
 				anew++
 			}
@@ -273,7 +276,7 @@
 	is := is.New(t)
 	w := newWorld(8)
 	a := w.assigner("east")
-	h := a.Home(key(1), w.all, anywhere)
+	h := a.Home(key(1), toAnywhere, w.all)
 	var others []*cataloger.Upstream
 	for _, u := range w.all {
 		if u != h {
@@ -290,3 +293,46 @@
 	is.Equal(a.Former(nil, key(1), w.all, func(string) bool { return false }), nil)
 	is.Equal(a.Former(nil, key(2), w.all, anywhere), nil)
 }
+
+// The load: a region with 2 of 16 upstreams and a third of the callers, who ask by three
+// routes, the tightest the least often. All keys of the tightest route live in the region,
+// the loosest go elsewhere, and no more of the work stays than the region carries.
+func TestTightRoutesStayNear(t *testing.T) {
+	is := is.New(t)
+	w := newWorld(2, 7, 7)
+	a := w.assigner("east")
+	routes := []struct {
+		request assigner.Request
+		asked   int
+	}{
+		{assigner.Request{Service: "s", Route: "confirm", Objective: 250, Allowed: anywhere}, 1},
+		{assigner.Request{Service: "s", Route: "fetch", Objective: 300, Allowed: anywhere}, 6},
+		{assigner.Request{Service: "s", Route: "publish", Objective: 400, Allowed: anywhere}, 3},
+	}
+	asked, near, work, nearWork := map[string]int{}, map[string]int{}, 0.0, 0.0
+	for i := range 4000 {
+		w.now += 5
+		at := i % 10
+		for _, r := range routes {
+			if at -= r.asked; at >= 0 {
+				continue
+			}
+			stays := a.Home(key(i), r.request, w.all).Site.Region() == "east"
+			if i < 1000 {
+				break // what routes there are is not known at first
+			}
+			asked[r.request.Route]++
+			work += float64(r.request.Objective)
+			if stays {
+				near[r.request.Route]++
+				nearWork += float64(r.request.Objective)
+			}
+			break
+		}
+	}
+	is.Equal(near["confirm"], asked["confirm"])
+	is.True(near["fetch"] > asked["fetch"]/3)
+	is.Equal(near["publish"], 0)
+	carried := 3.0 * 2 / 16
+	is.True(nearWork/work > carried-0.05 && nearWork/work < carried+0.05)
+}
--- a/internal/request/assigner/doc.go
+++ b/internal/request/assigner/doc.go
@@ -8,4 +8,7 @@
 // moves away from an upstream that has far more than others, a few at a time. The
 // daemons of a region tell each other of homes; where they differ for a moment, a
 // key is run at two places, which costs time and breaks nothing.
+//
+// Where a region has fewer upstreams than its callers need, some of their keys live in
+// others: those of the routes that lose least by the way there.
 package assigner
--- a/internal/request/assigner/load_test.go
+++ b/internal/request/assigner/load_test.go
@@ -143,7 +143,7 @@
 // homes keeps a key at its home, or moves it.
 func homes(a *assigner.Assigner) policy {
 	return func(k hasher.Hash, all []*cataloger.Upstream, states func([]*cataloger.Upstream) []placer.State) *cataloger.Upstream {
-		list := []*cataloger.Upstream{a.Home(k, all, anywhere)}
+		list := []*cataloger.Upstream{a.Home(k, toAnywhere, all)}
 		for _, u := range placer.List(nil, k, all, anywhere) {
 			if u != list[0] {
 				list = append(list, u)
--- a/internal/request/assigner/region.go
+++ b/internal/request/assigner/region.go
@@ -20,11 +20,11 @@
 	spread []regionShare
 )
 
-// newSpread divides the keys of origin such that all regions are loaded in
-// proportion to their slots if each region has the same demand, and as many keys
-// as possible stay where their callers are. Demand differs and changes; keys that
-// overload a region are moved one by one.
-func newSpread(origin string, regions []string, all []*cataloger.Upstream) spread {
+// spread divides the keys of a request's route among regions such that all regions are
+// loaded in proportion to their slots if each region has the same demand, and as many keys
+// as possible stay where their callers are, those of the tightest routes first. Demand
+// differs and changes; keys that overload a region are moved one by one.
+func (a *Assigner) spread(r Request, all []*cataloger.Upstream) spread {
 	slots, total := map[string]float64{}, 0.0
 	for _, u := range all {
 		slots[u.Site.Region()] += float64(max(u.Slots, 1))
@@ -33,24 +33,27 @@
 	if total == 0 {
 		return nil
 	}
-	demand := 1 / float64(max(len(regions), 1))
+	even := 1 / float64(max(len(a.Regions), 1))
 	spare, spares := map[string]float64{}, 0.0
-	for r, n := range slots {
-		spare[r] = max(n/total-demand, 0)
-		spares += spare[r]
+	for name, n := range slots {
+		spare[name] = max(n/total-even, 0)
+		spares += spare[name]
+	}
+	own := min(slots[a.Region]/total/even, 1)
+	if own > 0 && own < 1 && spares > 0 {
+		own = a.demands[r.Service].share(r.Route, own)
 	}
-	own := min(slots[origin]/total/demand, 1)
 	var s spread
-	for r := range slots {
+	for name := range slots {
 		part := 0.0
 		if spares > 0 {
-			part = (1 - own) * spare[r] / spares
+			part = (1 - own) * spare[name] / spares
 		}
-		if r == origin {
+		if name == a.Region {
 			part += own
 		}
 		if part > 0 {
-			s = append(s, regionShare{r, hasher.OfString(r), part})
+			s = append(s, regionShare{name, hasher.OfString(name), part})
 		}
 	}
 	return s
--- a/internal/request/assigner/shed_test.go
+++ b/internal/request/assigner/shed_test.go
@@ -38,7 +38,7 @@
 
 // choose picks the upstream of one sending.
 func (s *shedWorld) choose(k hasher.Hash, refused *cataloger.Upstream) *cataloger.Upstream {
-	list := []*cataloger.Upstream{s.homes.Home(k, s.all, anywhere)}
+	list := []*cataloger.Upstream{s.homes.Home(k, toAnywhere, s.all)}
 	for _, u := range placer.List(nil, k, s.all, anywhere) {
 		if u != list[0] {
 			list = append(list, u)
--- a/internal/request/dispatcher/choose.go
+++ b/internal/request/dispatcher/choose.go
@@ -23,7 +23,7 @@
 	var space [maxCandidates]*cataloger.Upstream
 	list := space[:0]
 	if x.homed() {
-		home := x.d.Homes.Home(x.key, all, x.route.Allows)
+		home := x.d.Homes.Home(x.key, x.placed(), all)
 		if home == nil {
 			return nil, placer.Gone
 		}
@@ -62,6 +62,11 @@
 	}
 }
 
+// placed is what decides where the request's key may live.
+func (x *exchange) placed() assigner.Request {
+	return assigner.Request{Service: x.part, Route: x.route.Name, Objective: x.route.Objective, Allowed: x.route.Allows}
+}
+
 // take notes what was known of an upstream when it was chosen.
 func (x *exchange) take(u *cataloger.Upstream, s placer.State) {
 	x.decision.Upstream, x.decision.Site = u.ID, u.Site
