runner, pipeliner: the product's own front takes requests sent ahead as well; guarder is gone

Cause: the product's own front served a connection one request after the other, and a package of its own (guarder, 167 lines) kept each head beside net/http's server only to see two lengths and to mark refusals.

Change: callers of daemons are served by the pipeliner, which judges heads itself; requests overlap whose service may run them twice. A head that follows another in one packet is judged exactly now (it counted as bad before when chunked).

TestBadInputIsRefused counts 6 refused heads in place of 5: length and chunks are now refused with the others, before the handler. Trailers are those set after the status, also through a header taken before it.

--- a/internal/connection/pipeliner/answer.go
+++ b/internal/connection/pipeliner/answer.go
@@ -5,6 +5,7 @@
 	"io"
 	"maps"
 	"net/http"
+	"slices"
 	"strconv"
 	"strings"
 	"sync/atomic"
@@ -50,6 +51,8 @@
 	arrived timekeeper.Millis
 
 	header http.Header
+	// fields are the header when its status was set; what is set later are trailers.
+	fields http.Header
 	status int
 	// length is the stated length of the body, -1 if there is none.
 	length  int64
@@ -145,13 +148,13 @@
 		return
 	}
 	a.status = status
-	a.header = maps.Clone(a.header)
+	a.fields = maps.Clone(a.header)
 	method := ""
 	if a.request != nil {
 		method = a.request.Method
 	}
 	a.bare = method == http.MethodHead || status == http.StatusNoContent || status == http.StatusNotModified
-	if v := a.header.Get("Content-Length"); v != "" {
+	if v := a.fields.Get("Content-Length"); v != "" {
 		if n, err := strconv.ParseInt(v, 10, 64); err == nil && n >= 0 {
 			a.length = n
 		}
@@ -294,12 +297,12 @@
 	} else if a.request != nil && !a.request.ProtoAtLeast(1, 1) {
 		_, _ = w.WriteString("Connection: keep-alive\r\n")
 	}
-	if _, ok := a.header["Date"]; !ok {
+	if _, ok := a.fields["Date"]; !ok {
 		_, _ = w.WriteString("Date: ")
 		_, _ = w.WriteString(date(a.conn.server.Clock))
 		_, _ = w.WriteString("\r\n")
 	}
-	_ = a.header.WriteSubset(w, a.skipped())
+	_ = a.fields.WriteSubset(w, a.skipped())
 	_, _ = w.WriteString("\r\n")
 }
 
@@ -327,7 +330,7 @@
 // it lets those pass that were begun behind it: the last of them ends it.
 func (a *answer) closes(ends bool) bool {
 	c := a.conn
-	ends = ends || a.last || httpguts.HeaderValuesContainsToken(a.header["Connection"], "close") || c.server.leaving()
+	ends = ends || a.last || httpguts.HeaderValuesContainsToken(a.fields["Connection"], "close") || c.server.leaving()
 	read := a.body == nil || a.body.settle()
 	c.lock.Lock()
 	defer c.lock.Unlock()
@@ -338,16 +341,16 @@
 
 // skipped are the fields that the handler's header does not write.
 func (a *answer) skipped() map[string]bool {
-	for n := range a.header {
-		if strings.HasPrefix(n, http.TrailerPrefix) {
-			s := maps.Clone(skipped)
-			for n := range a.header {
-				s[n] = s[n] || strings.HasPrefix(n, http.TrailerPrefix)
-			}
-			return s
-		}
+	isTrailer := func(n string) bool { return strings.HasPrefix(n, http.TrailerPrefix) }
+	names := slices.DeleteFunc(slices.Collect(maps.Keys(a.fields)), func(n string) bool { return !isTrailer(n) })
+	if len(names) == 0 {
+		return skipped
+	}
+	all := maps.Clone(skipped)
+	for _, n := range names {
+		all[n] = true
 	}
-	return skipped
+	return all
 }
 
 // finish writes the answer, and those behind it that are done, if it is its turn.
--- a/internal/connection/pipeliner/standard_test.go
+++ b/internal/connection/pipeliner/standard_test.go
@@ -59,8 +59,9 @@
 	case "/long":
 		_, _ = io.WriteString(w, strings.Repeat("x", 10_000))
 	case "/trailer":
+		h := w.Header()
 		_, _ = io.WriteString(w, strings.Repeat("x", 3_000))
-		w.Header().Set(http.TrailerPrefix+"Sum", "7")
+		h.Set(http.TrailerPrefix+"Sum", "7")
 	case "/close":
 		w.Header().Set("Connection", "close")
 	default:
@@ -232,3 +233,44 @@
 	}
 	is.Equal(len(got.got), 0)
 }
+
+// TestEachHeadIsJudgedByItself sends requests over one connection, each by itself and all in
+// one piece: a length in the head of one says nothing of the next.
+func TestEachHeadIsJudgedByItself(t *testing.T) {
+	const (
+		chunked = "Transfer-Encoding: chunked\r\n\r\n1\r\nx\r\n0\r\n\r\n"
+		head    = "POST / HTTP/1.1\r\n" + host
+	)
+	requests := []string{
+		head + "Content-Length: 1\r\n\r\nx",
+		head + chunked,
+		head + "Content-Length: 1\r\n\r\nx",
+		head + "content-LENGTH: 9\r\n" + chunked,
+		head + chunked,
+	}
+	statuses := []int{http.StatusOK, http.StatusOK, http.StatusOK, http.StatusBadRequest}
+	t.Run("one by one", func(t *testing.T) {
+		is := is.New(t)
+		ours, _, _, _ := servers(t)
+		c := dial(t, ours)
+		for i, want := range statuses {
+			c.send(requests[i])
+			p, err := http.ReadResponse(c.reader, nil)
+			is.NoErr(err)
+			_, _ = io.Copy(io.Discard, p.Body)
+			is.Equal(p.StatusCode, want)
+		}
+		c.wantsEnd()
+	})
+	t.Run("in one piece", func(t *testing.T) {
+		is := is.New(t)
+		ours, _, got, _ := servers(t)
+		v := converse(t, ours, strings.Join(requests, ""))
+		var seen []int
+		for _, a := range v.answers {
+			seen = append(seen, a.status)
+		}
+		is.Equal(seen, statuses)
+		is.Equal(len(got.of(v.caller)), 3) // nothing behind the refused one
+	})
+}
--- a/internal/process/runner/control.go
+++ b/internal/process/runner/control.go
@@ -9,8 +9,8 @@
 	"github.com/sirupsen/logrus"
 
 	"github.com/gullvale/gullvale/internal/connection/framer"
-	"github.com/gullvale/gullvale/internal/connection/guarder"
 	"github.com/gullvale/gullvale/internal/connection/linker"
+	"github.com/gullvale/gullvale/internal/connection/pipeliner"
 	"github.com/gullvale/gullvale/internal/connection/pooler"
 	"github.com/gullvale/gullvale/internal/process/leader"
 	"github.com/gullvale/gullvale/internal/process/measurer"
@@ -166,10 +166,14 @@
 	}
 }
 
-func (d *Daemon) headRefused(k guarder.Kind) {
+func (d *Daemon) headRefused(k pipeliner.Kind) {
 	d.meter.Count("heads_refused", measurer.Labels{Kind: string(k)})
 }
 
+func (d *Daemon) handlerFailed(reason any) {
+	d.log.WithField("reason", reason).Error("request handler panicked")
+}
+
 func (d *Daemon) probed(k pooler.Key, _ string, ok bool) {
 	kind := "ok"
 	if !ok {
--- a/internal/process/runner/daemon.go
+++ b/internal/process/runner/daemon.go
@@ -16,9 +16,9 @@
 	"github.com/zeromicro/go-zero/rest"
 
 	"github.com/gullvale/gullvale/internal/connection/encrypter"
-	"github.com/gullvale/gullvale/internal/connection/guarder"
 	"github.com/gullvale/gullvale/internal/connection/linker"
 	"github.com/gullvale/gullvale/internal/connection/pacer"
+	"github.com/gullvale/gullvale/internal/connection/pipeliner"
 	"github.com/gullvale/gullvale/internal/connection/pooler"
 	"github.com/gullvale/gullvale/internal/connection/router"
 	"github.com/gullvale/gullvale/internal/process/changer"
@@ -49,10 +49,13 @@
 	leadPrefix     = "Lease/Lead/"
 
 	// headTimeout bounds how long a caller may take to send a head.
-	headTimeout = 10 * time.Second
+	headTimeout = 10 * timekeeper.Second
 
 	// idleTimeout ends connections that callers no longer use.
-	idleTimeout = 2 * time.Minute
+	idleTimeout = 2 * timekeeper.Minute
+
+	// maxHeadBytes bounds the head of a request.
+	maxHeadBytes = 64 << 10
 
 	// forever keeps go-zero from killing the process while a planned stop
 	// waits for requests in flight.
@@ -71,6 +74,13 @@
 		WrapCallers func(net.Listener) net.Listener
 	}
 
+	// server is one listener's server.
+	server struct {
+		serve    func(net.Listener) error
+		shutdown func(context.Context) error
+		close    func()
+	}
+
 	// Daemon is one entry daemon. Build it with New, then call Start.
 	Daemon struct {
 		config  configurer.Config
@@ -88,7 +98,7 @@
 		encrypter *encrypter.Encrypter
 		pacer     pacer.Pacer
 		operators net.Listener
-		servers   []*http.Server
+		servers   []server
 
 		self     registrar.Member
 		leaving  atomic.Bool
@@ -346,31 +356,40 @@
 	if err != nil {
 		return err
 	}
-	var l net.Listener = guarder.Listener{Listener: d.callers, Refused: d.headRefused}
+	front := &pipeliner.Server{
+		Handler:      callers,
+		MayOverlap:   d.forwarder.MayOverlap,
+		Leaving:      d.leaving.Load,
+		HeadTimeout:  func() timekeeper.Millis { return headTimeout },
+		IdleTimeout:  func() timekeeper.Millis { return idleTimeout },
+		MaxHeadBytes: maxHeadBytes,
+		Refused:      d.headRefused,
+		Failed:       d.handlerFailed,
+		Clock:        d.clock,
+	}
+	l := d.callers
 	if d.options.WrapCallers != nil {
 		l = d.options.WrapCallers(l)
 	}
-	for _, s := range []struct {
-		listener net.Listener
-		handler  http.Handler
-	}{{l, callers}, {d.operators, operators}} {
-		server := &http.Server{
-			Handler:           s.handler,
-			ReadHeaderTimeout: headTimeout,
-			IdleTimeout:       idleTimeout,
-			MaxHeaderBytes:    guarder.MaxHeadBytes,
-			ConnContext:       guarder.ConnContext,
-			ConnState:         guarder.ConnState,
-			ErrorLog:          quietLog(d.log),
-		}
-		d.servers = append(d.servers, server)
-		go d.runServer(server, s.listener)
+	d.start(server{front.Serve, front.Shutdown, front.Close}, l)
+	back := &http.Server{
+		Handler:           operators,
+		ReadHeaderTimeout: headTimeout.Duration(),
+		IdleTimeout:       idleTimeout.Duration(),
+		MaxHeaderBytes:    maxHeadBytes,
+		ErrorLog:          quietLog(d.log),
 	}
+	d.start(server{back.Serve, back.Shutdown, func() { _ = back.Close() }}, d.operators)
 	return nil
 }
 
-func (d *Daemon) runServer(s *http.Server, l net.Listener) {
-	if err := s.Serve(l); err != nil && err != http.ErrServerClosed {
+func (d *Daemon) start(s server, l net.Listener) {
+	d.servers = append(d.servers, s)
+	go d.runServer(s, l)
+}
+
+func (d *Daemon) runServer(s server, l net.Listener) {
+	if err := s.serve(l); err != nil && err != http.ErrServerClosed {
 		d.log.WithError(err).Error("listener failed")
 	}
 }
--- a/internal/process/runner/stop.go
+++ b/internal/process/runner/stop.go
@@ -101,9 +101,9 @@
 // handed over.
 func (d *Daemon) drain(ctx context.Context) {
 	for _, s := range d.servers {
-		if err := s.Shutdown(ctx); err != nil {
+		if err := s.shutdown(ctx); err != nil {
 			d.log.WithError(err).WithFields(logrus.Fields{"inFlight": d.forwarder.InFlight()}).Warn("stop no longer waits")
-			s.Close()
+			s.close()
 		}
 	}
 	const endless = 1 << 62
@@ -124,7 +124,7 @@
 	d.stopped.Do(func() {
 		d.cancel()
 		for _, s := range d.servers {
-			s.Close()
+			s.close()
 		}
 		d.closeListeners()
 		d.meter.Close()
--- a/internal/request/forwarder/forwarder.go
+++ b/internal/request/forwarder/forwarder.go
@@ -10,7 +10,6 @@
 	"sync/atomic"
 	"time"
 
-	"github.com/gullvale/gullvale/internal/connection/guarder"
 	"github.com/gullvale/gullvale/internal/connection/linker"
 	"github.com/gullvale/gullvale/internal/connection/pooler"
 	"github.com/gullvale/gullvale/internal/process/measurer"
@@ -135,12 +134,28 @@
 	return f.run(ctx, c, s)
 }
 
+// MayOverlap tells whether a request may be handled beside others of its connection: one
+// that its service allows to run twice.
+func (f *Forwarder) MayOverlap(r *http.Request) bool {
+	s := f.Snapshot()
+	if s == nil {
+		return false
+	}
+	name, ok := serviceOf(r, s)
+	if !ok {
+		return false
+	}
+	block, err := blockOf(r, s)
+	if err != nil {
+		return false
+	}
+	service := s.Settings.At(block.Origin, name)
+	return service != nil && service.Idempotent(r.Method)
+}
+
 // call builds the call, or refuses the request.
 func (x *exchange) call(s *steerer.Snapshot) (*exchanger.Call, bool) {
 	r := x.request
-	if guarder.TwoLengths(r) {
-		return x.reject(http.StatusBadRequest, exchanger.ReasonBadRequest, "both Content-Length and Transfer-Encoding")
-	}
 	name, ok := serviceOf(r, s)
 	if !ok {
 		return x.reject(http.StatusNotFound, exchanger.ReasonUnknownService,
--- a/test/bad_input_test.go
+++ b/test/bad_input_test.go
@@ -65,7 +65,7 @@
 		defer p.Body.Close()
 		b, err := io.ReadAll(p.Body)
 		is.NoErr(err)
-		return strings.Contains(string(b), `gullvale_heads_refused{class="none",kind="malformed head",service="none"} 5`) &&
+		return strings.Contains(string(b), `gullvale_heads_refused{class="none",kind="malformed head",service="none"} 6`) &&
 			strings.Contains(string(b), `gullvale_request_reasons{class="short",kind="body too large",service="keg-ledger"} 2`)
 	})
 }
