--- a/internal/process/explainer/line.go
+++ b/internal/process/explainer/line.go
@@ -47,6 +47,11 @@
 		Millis   float64 `json:"ms"`
 		Load     float64 `json:"load"`
 		Own      int     `json:"own"`
+		// Objective is in milliseconds; Waited is how long the request waited for others
+		// of its connection, SentAfter when it was first sent.
+		Objective float64 `json:"objective"`
+		Waited    float64 `json:"waited"`
+		SentAfter float64 `json:"sentAfter"`
 
 		Version uint64  `json:"version"`
 		Leaving bool    `json:"leaving"`
--- a/internal/process/explainer/text.go
+++ b/internal/process/explainer/text.go
@@ -24,6 +24,7 @@
 	if q.Route != "" {
 		say("route %s of service %s, %s", q.Route, q.Service, q.Class)
 	}
+	t.writeTimes(say)
 	t.writeConfig(say)
 	t.writeUpstream(say)
 	if t.Store != nil {
@@ -34,6 +35,22 @@
 	}
 }
 
+// writeTimes says where the request was before it was sent, in logs that tell.
+func (t Try) writeTimes(say func(string, ...any)) {
+	q := t.Request
+	if q.Objective == 0 {
+		return
+	}
+	text := fmt.Sprintf("objective %g ms", q.Objective)
+	if q.Waited > 0 {
+		text += fmt.Sprintf(", waited %g ms behind others of its connection", q.Waited)
+	}
+	if q.Tries > 0 {
+		text += fmt.Sprintf(", first sent after %g ms", q.SentAfter)
+	}
+	say("%s", text)
+}
+
 func (t Try) writeConfig(say func(string, ...any)) {
 	q := t.Request
 	switch {
