--- a/internal/connection/pipeliner/conn.go
+++ b/internal/connection/pipeliner/conn.go
@@ -118,7 +118,7 @@
 			<-a.body.ended
 		}
 		if a.last {
-			c.watch()
+			c.drain()
 			return
 		}
 	}
@@ -169,56 +169,42 @@
 	c.lock.Lock()
 	defer c.lock.Unlock()
 	c.phase, c.next = waiting, a
-	for {
-		switch {
-		case c.closing || c.broken:
-			return false
-		case c.mayBegin(a):
-			c.begin(a)
-			return true
-		}
-		c.setLimit(0)
-		c.lock.Unlock()
-		seen := c.fill()
-		c.lock.Lock()
-		switch {
-		case seen == errFull:
-			c.waitForTurn(a)
-		case seen != nil && !isTimeout(seen):
-			c.cancel()
-			return false
-		}
-	}
-}
-
-// waitForTurn waits without reading, since no more can be read ahead. The caller holds
-// the lock.
-func (c *conn) waitForTurn(a *answer) {
-	for !c.closing && !c.broken && !c.mayBegin(a) {
-		c.changed.Wait()
+	over := func() bool { return c.closing || c.broken }
+	if !c.watch(func() bool { return over() || c.mayBegin(a) }) || over() {
+		return false
 	}
+	c.begin(a)
+	return true
 }
 
-// watch waits until the answers that are under way are written or the caller leaves.
-func (c *conn) watch() {
+// drain waits until all that was begun is answered.
+func (c *conn) drain() {
 	c.lock.Lock()
 	defer c.lock.Unlock()
 	c.phase = waiting
-	for len(c.pending) > 0 && !c.broken {
+	c.watch(func() bool { return len(c.pending) == 0 || c.broken })
+}
+
+// watch reads ahead until a condition holds, so that a caller that leaves meanwhile is
+// seen, and reports false if it did. The caller holds the lock.
+func (c *conn) watch(done func() bool) bool {
+	for !done() {
 		c.setLimit(0)
 		c.lock.Unlock()
-		seen := c.fill()
+		err := c.fill()
 		c.lock.Lock()
 		switch {
-		case seen == errFull:
-			for len(c.pending) > 0 && !c.broken {
+		case err == errFull:
+			// No more can be read ahead.
+			for !done() {
 				c.changed.Wait()
 			}
-		case seen != nil && !isTimeout(seen):
+		case err != nil && !isTimeout(err):
 			c.cancel()
-			return
+			return false
 		}
 	}
+	return true
 }
 
 // mayBegin tells whether a request may begin beside those that are under way. The
--- /dev/null
+++ b/internal/connection/pipeliner/date.go
@@ -0,0 +1,28 @@
+package pipeliner
+
+import (
+	"net/http"
+	"sync/atomic"
+	"time"
+
+	"github.com/gullvale/gullvale/pkg/timekeeper"
+)
+
+// stamp is a moment as header fields write it.
+type stamp struct {
+	second timekeeper.Millis
+	text   string
+}
+
+var lastStamp atomic.Pointer[stamp]
+
+// date returns the time of day. It is formatted once a second.
+func date(c timekeeper.Clock) string {
+	now := c.WallNow() / timekeeper.Second
+	if s := lastStamp.Load(); s != nil && s.second == now {
+		return s.text
+	}
+	s := &stamp{now, time.Unix(int64(now), 0).UTC().Format(http.TimeFormat)}
+	lastStamp.Store(s)
+	return s.text
+}
