--- a/internal/connection/pipeliner/answer.go
+++ b/internal/connection/pipeliner/answer.go
@@ -19,8 +19,8 @@
 	// their upstream at once, also behind a slow one.
 	heldBytes = 128 << 10
 
-	// heldInAll bounds what waits of all answers: an eighth of the smallest VM's
-	// memory.
+	// heldInAll bounds what waits of all answers: an eighth of the smallest VM's memory
+	// of 184 MB.
 	heldInAll = 24 << 20
 
 	// notRunField says that a refused request did not run.
--- a/internal/connection/pipeliner/server.go
+++ b/internal/connection/pipeliner/server.go
@@ -23,8 +23,9 @@
 	maxAhead = 16
 
 	// maxAheadInAll is how many requests of all connections are handled beside an
-	// earlier one of their connection. With a goroutine and its buffers, about 12 KB
-	// each, they take 24 MB: an eighth of the smallest VM's memory.
+	// earlier one of their connection. Each takes 2.3 KB here (16 on each of 100
+	// connections whose handler waits) and the 6 KB of buffers of its sending: 17 MB, a
+	// tenth of the smallest VM's memory.
 	maxAheadInAll = 2048
 
 	// firstAcceptPause is the pause after a connection could not be accepted, for want
