platform, storer: lines and metrics for changes that are known and not read

Cause: four of five VMs kept an old configuration for 20 s and wrote no line. A lead that relays ends the count of failed calls of its members four times a second, so the line 'store lost' needs two failures within 250 ms; and neither metrics nor errors told a call that was given up from one that was broken off.

No logic is changed.

--- a/internal/process/explainer/line.go
+++ b/internal/process/explainer/line.go
@@ -33,20 +33,23 @@
 		Time    time.Time `json:"time"`
 		Message string    `json:"msg"`
 
-		ID       string  `json:"id"`
-		Route    string  `json:"route"`
-		Service  string  `json:"service"`
-		Class    string  `json:"class"`
-		Upstream string  `json:"upstream"`
-		Site     string  `json:"site"`
-		Outcome  string  `json:"outcome"`
-		Reason   string  `json:"reason"`
-		Config   uint64  `json:"config"`
-		Status   int     `json:"status"`
-		Tries    int     `json:"tries"`
-		Millis   float64 `json:"ms"`
-		Load     float64 `json:"load"`
-		Own      int     `json:"own"`
+		ID       string `json:"id"`
+		Route    string `json:"route"`
+		Service  string `json:"service"`
+		Class    string `json:"class"`
+		Upstream string `json:"upstream"`
+		Site     string `json:"site"`
+		Outcome  string `json:"outcome"`
+		Reason   string `json:"reason"`
+		Config   uint64 `json:"config"`
+		// Behind is for how many milliseconds a change had been known of, maybe one of
+		// the configuration, that had not been read.
+		Behind float64 `json:"behind"`
+		Status int     `json:"status"`
+		Tries  int     `json:"tries"`
+		Millis float64 `json:"ms"`
+		Load   float64 `json:"load"`
+		Own    int     `json:"own"`
 		// Objective is in milliseconds; Waited is how long the request waited for others
 		// of its connection, SentAfter when it was first sent.
 		Objective float64 `json:"objective"`
--- a/internal/process/explainer/text.go
+++ b/internal/process/explainer/text.go
@@ -61,6 +61,9 @@
 	default:
 		say("configuration %d, in force there for %s", q.Config, ago(q, t.Config))
 	}
+	if q.Behind > 0 {
+		say("a change was known there for %g ms that had not been read", q.Behind)
+	}
 	if t.Newer != nil {
 		say("configuration %d was in force at %s for %s", t.Newer.Version, t.Newer.Source, ago(q, t.Newer))
 	}
--- a/internal/process/fronter/fronter.go
+++ b/internal/process/fronter/fronter.go
@@ -86,7 +86,10 @@
 		// Self is the name of this member, Members returns the living ones.
 		Self    string
 		Members func() []heartbeater.Member
-		Bounds  func() Bounds
+		// Behind returns for how long a change has been known of, maybe one of the
+		// configuration, that has not been read. Nil means never.
+		Behind func() timekeeper.Millis
+		Bounds func() Bounds
 		// Homes knows where keys live.
 		Homes *assigner.Assigner
 		// Changed is told that the entry became ready.
@@ -127,6 +130,7 @@
 	f.upstreams = &tracker.Set{Dial: dial}
 	f.dispatcher = &dispatcher.Dispatcher{
 		Config:    f.Config,
+		Behind:    o.Behind,
 		Catalog:   f.Catalog.Current,
 		Upstreams: f.upstreams,
 		Fields:    o.Fields,
@@ -159,6 +163,7 @@
 			return false
 		}
 		if f.config.CompareAndSwap(old, c) {
+			f.Meter.Gauge("config_version", measurer.Labels{}, float64(c.Version))
 			f.advance()
 			return true
 		}
@@ -360,7 +365,7 @@
 	}
 	f.options.Log.WithFields(logrus.Fields{
 		"id": e.ID, "route": e.Route, "service": e.Service, "class": e.Class,
-		"config": e.Config, "catalog": e.Catalog, "upstream": e.Upstream, "site": e.Site, "key": e.Key,
+		"config": e.Config, "behind": int64(e.Behind), "catalog": e.Catalog, "upstream": e.Upstream, "site": e.Site, "key": e.Key,
 		"tries": e.Tries, "outcome": e.Outcome, "reason": e.Reason, "status": e.Status,
 		"ms": int64(e.Took), "objective": int64(e.Objective), "waited": int64(e.Waited), "sentAfter": int64(e.SentAfter), "load": e.Load, "own": e.Own,
 	}).Info("request")
--- a/internal/request/dispatcher/dispatcher.go
+++ b/internal/request/dispatcher/dispatcher.go
@@ -42,7 +42,10 @@
 	// be set before use.
 	Dispatcher struct {
 		// Config returns the configuration in force, nil if none is known.
-		Config    func() *matcher.Config
+		Config func() *matcher.Config
+		// Behind returns for how long a change has been known of, maybe one of the
+		// configuration, that has not been read. Nil means never.
+		Behind    func() timekeeper.Millis
 		Catalog   func() *cataloger.Snapshot
 		Upstreams *tracker.Set
 		Fields    Fields
@@ -80,6 +83,9 @@
 		Service string
 		Class   string
 		Config  matcher.Version
+		// Behind is for how long a change had been known of, maybe one of the
+		// configuration, that had not been read.
+		Behind  timekeeper.Millis
 		Catalog uint64
 		// Upstream is the one that was chosen last, or the first choice if none
 		// took the request, and Site is where it is.
@@ -137,6 +143,13 @@
 	return route != nil && route.Kind.Repeatable()
 }
 
+func (d *Dispatcher) behind() timekeeper.Millis {
+	if d.Behind == nil {
+		return 0
+	}
+	return d.Behind()
+}
+
 func (d *Dispatcher) leavingAt() timekeeper.Millis {
 	if d.LeavingAt == nil {
 		return 0
--- a/internal/request/dispatcher/exchange.go
+++ b/internal/request/dispatcher/exchange.go
@@ -104,6 +104,7 @@
 	e.ID = x.r.Header.Get(x.d.Fields.RequestID)
 	e.Took = x.d.Clock.Now() - x.began
 	e.Waited, e.SentAfter = x.waited, x.sentAfter
+	e.Behind = x.d.behind()
 	e.Tries = len(x.tried)
 	x.d.measure(e)
 	if x.d.Decided != nil {
--- a/pkg/storer/client.go
+++ b/pkg/storer/client.go
@@ -4,9 +4,7 @@
 	"bytes"
 	"context"
 	"encoding/json"
-	"errors"
 	"io"
-	"net"
 	"net/http"
 	"net/url"
 	"strconv"
@@ -205,13 +203,13 @@
 	}
 	p, err := do(q.WithContext(ctx))
 	if err != nil {
-		return nil, nil, classify(q, err)
+		return nil, nil, classify(q, err, 0)
 	}
 	defer p.Body.Close()
 	body, err := io.ReadAll(io.LimitReader(p.Body, maxAnswerBytes))
 	c.calls.Bytes.Add(uint64(len(body)) + uint64(max(q.ContentLength, 0)))
 	if err != nil {
-		return nil, nil, classify(q, err)
+		return nil, nil, classify(q, err, len(body))
 	}
 	return p, body, statusError(q, p.StatusCode, body)
 }
@@ -223,16 +221,6 @@
 	return DefaultTimeout
 }
 
-// classify tells a call that certainly did not arrive from one that may have.
-func classify(q *http.Request, err error) error {
-	var op *net.OpError
-	dialled := !(errors.As(err, &op) && op.Op == "dial")
-	if dialled && q.Method != http.MethodGet {
-		return eris.Wrapf(ErrUnknown, "%s %s: %v", q.Method, q.URL.Path, err)
-	}
-	return eris.Wrapf(ErrUnreachable, "%s %s: %v", q.Method, q.URL.Path, err)
-}
-
 func statusError(q *http.Request, status int, body []byte) error {
 	text := strings.TrimSpace(string(body[:min(len(body), 200)]))
 	switch {
--- /dev/null
+++ b/pkg/storer/outcome.go
@@ -0,0 +1,66 @@
+package storer
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"net"
+	"net/http"
+
+	"github.com/rotisserie/eris"
+)
+
+// TimeoutError reports a call that was given up before its answer was whole.
+type TimeoutError struct {
+	// Outcome is ErrUnreachable, or ErrUnknown for a write that may have arrived.
+	Outcome error
+	// Read is how many bytes of the answer had come.
+	Read int
+}
+
+// Error says what is known of the call.
+func (e *TimeoutError) Error() string {
+	return fmt.Sprintf("no whole answer in time, %d bytes read: %v", e.Read, e.Outcome)
+}
+
+// Unwrap returns the outcome.
+func (e *TimeoutError) Unwrap() error {
+	return e.Outcome
+}
+
+// Outcome names how a call ended, for counters: ok, or the kind of its error.
+func Outcome(err error) string {
+	var timeout *TimeoutError
+	switch {
+	case err == nil:
+		return "ok"
+	case errors.As(err, &timeout):
+		return "timeout"
+	case errors.Is(err, ErrNotFound):
+		return "not found"
+	case errors.Is(err, ErrConflict):
+		return "conflict"
+	case errors.Is(err, ErrCompacted):
+		return "history gone"
+	case errors.Is(err, ErrRefused):
+		return "refused"
+	case errors.Is(err, ErrUnknown):
+		return "unknown"
+	}
+	return "unreachable"
+}
+
+// classify tells a call that certainly did not arrive from one that may have, and one
+// that was given up, after some bytes of its answer, from one that was broken off.
+func classify(q *http.Request, err error, read int) error {
+	var op *net.OpError
+	dialled := !(errors.As(err, &op) && op.Op == "dial")
+	outcome := ErrUnreachable
+	if dialled && q.Method != http.MethodGet {
+		outcome = ErrUnknown
+	}
+	if errors.Is(err, context.DeadlineExceeded) {
+		return eris.Wrapf(&TimeoutError{Outcome: outcome, Read: read}, "%s %s", q.Method, q.URL.Path)
+	}
+	return eris.Wrapf(outcome, "%s %s: %v", q.Method, q.URL.Path, err)
+}
