storer: a call is limited from byte to byte, not as a whole

Cause: a fixed limit on a whole answer makes each answer longer than limit times bandwidth unreadable for ever, and each try throws away what it had read, on a link that it keeps full: 600 ms at 10 Mbit/s for a configuration of 1 MB, which takes 840 ms. Class: a time-out without regard to progress, with retries from nothing.

Change: the limit of a call is that for its answer to begin, as before; each byte that moves, of the answer or of a body being sent, extends it to 1 s from then, and never shortens it; 15 s in all end one that trickles. It is in the one client of both the platform's path and the product's own, so lists, reads, watches and writes of all kinds have it.

Ruled out: a longer fixed limit (it only moves the length at which it fails, and a silent connection is found later); a limit by Content-Length (chunked answers have none).

--- a/pkg/storer/client.go
+++ b/pkg/storer/client.go
@@ -193,20 +193,26 @@
 }
 
 // Call makes a call that Request built and returns its answer with the body read.
-// An answer that is no success is an error, beside which the body is returned.
+// The answer must begin within the timeout, and go on without long silence after that: how
+// long the whole takes depends on its length and the path. An answer that is no success is
+// an error, beside which the body is returned.
 func (c *Client) Call(q *http.Request, timeout timekeeper.Millis) (*http.Response, []byte, error) {
-	ctx, cancel := context.WithTimeout(q.Context(), timeout.Duration())
-	defer cancel()
+	ctx, patience := newPatience(q.Context(), timeout)
+	defer patience.stop()
+	q = q.WithContext(ctx)
+	if q.Body != http.NoBody {
+		q.Body = watched{q.Body, patience}
+	}
 	do := c.Do
 	if do == nil {
 		do = httpc.DoRequest
 	}
-	p, err := do(q.WithContext(ctx))
+	p, err := do(q)
 	if err != nil {
 		return nil, nil, classify(q, err, 0)
 	}
 	defer p.Body.Close()
-	body, err := io.ReadAll(io.LimitReader(p.Body, maxAnswerBytes))
+	body, err := io.ReadAll(io.LimitReader(watched{p.Body, patience}, maxAnswerBytes))
 	c.calls.Bytes.Add(uint64(len(body)) + uint64(max(q.ContentLength, 0)))
 	if err != nil {
 		return nil, nil, classify(q, err, len(body))
--- a/pkg/storer/outcome.go
+++ b/pkg/storer/outcome.go
@@ -20,7 +20,7 @@
 
 // Error says what is known of the call.
 func (e *TimeoutError) Error() string {
-	return fmt.Sprintf("no whole answer in time, %d bytes read: %v", e.Read, e.Outcome)
+	return fmt.Sprintf("given up after %d bytes of the answer: %v", e.Read, e.Outcome)
 }
 
 // Unwrap returns the outcome.
@@ -59,7 +59,7 @@
 	if dialled && q.Method != http.MethodGet {
 		outcome = ErrUnknown
 	}
-	if errors.Is(err, context.DeadlineExceeded) {
+	if errors.Is(context.Cause(q.Context()), context.DeadlineExceeded) {
 		return eris.Wrapf(&TimeoutError{Outcome: outcome, Read: read}, "%s %s", q.Method, q.URL.Path)
 	}
 	return eris.Wrapf(outcome, "%s %s: %v", q.Method, q.URL.Path, err)
