dispatcher: nothing is denied for good while a change is known that was not read

Change: what the configuration in force does not allow (no route, head or body too large) is refused with 503 and a time to come back while a change is known of that has not been read, and for good as before once it has. The reason on the line says 'yet'. Requests that the configuration allows are served as before.

Ruled out: to hold such a request until the change is read: the caller finds another entry in the same time, which has it in most cases.

--- a/internal/request/dispatcher/answer.go
+++ b/internal/request/dispatcher/answer.go
@@ -162,6 +162,17 @@
 	x.finish(exchanger.NotRun, reason, status)
 }
 
+// deny refuses what the configuration in force doesn't allow. While a change is known of
+// that has not been read, it may be allowed: the caller comes back, or goes elsewhere, and
+// isn't told for good that it asks for what doesn't exist.
+func (x *exchange) deny(status int, reason string) {
+	if x.d.behind() > 0 {
+		x.refuse(http.StatusServiceUnavailable, reason+" yet", unknownRetryAfter)
+		return
+	}
+	x.refuse(status, reason, 0)
+}
+
 // fail answers that the request may have run.
 func (x *exchange) fail(status int, reason string) {
 	x.reply(status)
--- a/internal/request/dispatcher/dispatcher_test.go
+++ b/internal/request/dispatcher/dispatcher_test.go
@@ -333,6 +333,48 @@
 	is.Equal(s.ran("id"), 0)
 }
 
+// TestNothingIsDeniedWhileBehind has an entry know of a change that it has not read. What
+// the configuration that it has doesn't allow may be allowed.
+func TestNothingIsDeniedWhileBehind(t *testing.T) {
+	tests := []struct {
+		name    string
+		current int
+		change  func(*http.Request)
+	}{
+		{"no route", http.StatusNotFound, func(q *http.Request) { q.Host = "other.example" }},
+		{"head too large", http.StatusRequestHeaderFieldsTooLarge, func(q *http.Request) {
+			q.Header.Set("X-Long", strings.Repeat("x", 4096))
+		}},
+		{"body too large", http.StatusRequestEntityTooLarge, func(q *http.Request) {
+			body := strings.NewReader(strings.Repeat("x", 1<<20+1))
+			q.Body, q.ContentLength = io.NopCloser(body), int64(body.Len())
+		}},
+	}
+	for _, x := range tests {
+		t.Run(x.name, func(t *testing.T) {
+			is := is.New(t)
+			s := newSite(t, matcher.Once)
+			s.add(t, "u1", good)
+			behind := timekeeper.Millis(40)
+			s.Behind = func() timekeeper.Millis { return behind }
+			var reason string
+			s.Decided = func(d *dispatcher.Decision) { reason = d.Reason }
+
+			p, _ := s.ask(http.MethodPost, "behind", x.change)
+			is.Equal(p.StatusCode, http.StatusServiceUnavailable)
+			is.True(p.Header.Get("Retry-After") != "")
+			is.Equal(reason, x.name+" yet")
+			p, _ = s.ask(http.MethodPost, "allowed", nil)
+			is.Equal(p.StatusCode, http.StatusOK)
+
+			behind = 0
+			p, _ = s.ask(http.MethodPost, "current", x.change)
+			is.Equal(p.StatusCode, x.current)
+			is.Equal(s.ran("behind")+s.ran("current"), 0)
+		})
+	}
+}
+
 func TestLongAnswerThatBreaksLooksBroken(t *testing.T) {
 	is := is.New(t)
 	s := newSite(t, matcher.Once)
--- a/internal/request/dispatcher/exchange.go
+++ b/internal/request/dispatcher/exchange.go
@@ -53,7 +53,8 @@
 	refusedRetryAfter = 100 * timekeeper.Millis(1)
 
 	// unknownRetryAfter is when a caller may come back to an entry that does
-	// not know the configuration yet.
+	// not know the configuration yet, or not the latest one: half of what one of
+	// 1 MB takes over the narrowest link.
 	unknownRetryAfter = 500 * timekeeper.Millis(1)
 
 	// steadyStop is how much longer a stopping entry must live than a new
@@ -148,7 +149,7 @@
 	x.config, x.route = c, c.Match(x.r.Host, pathOf(x.r))
 	x.decision.Config = c.Version
 	if x.route == nil {
-		x.refuse(http.StatusNotFound, "no route", 0)
+		x.deny(http.StatusNotFound, "no route")
 		return false
 	}
 	x.setKey()
@@ -190,7 +191,7 @@
 	if n <= limit {
 		return true
 	}
-	x.refuse(http.StatusRequestHeaderFieldsTooLarge, "head too large", 0)
+	x.deny(http.StatusRequestHeaderFieldsTooLarge, "head too large")
 	return false
 }
 
@@ -221,7 +222,7 @@
 	x.length = x.r.ContentLength
 	limit := x.config.Limits.BodyBytes
 	if limit > 0 && x.length > limit {
-		x.refuse(http.StatusRequestEntityTooLarge, "body too large", 0)
+		x.deny(http.StatusRequestEntityTooLarge, "body too large")
 		return false
 	}
 	if x.length == 0 {
