--- a/pkg/storer/client.go
+++ b/pkg/storer/client.go
@@ -76,10 +76,17 @@
 		// Address is the base URL, such as "http://10.0.0.5:7000".
 		Address string
 		Token   string
-		// Timeout bounds a call; 0 means DefaultTimeout.
+		// Timeout bounds the time until an answer begins; 0 means DefaultTimeout.
 		Timeout timekeeper.Millis
+		// Silence bounds how long nothing may come of an answer that has begun, and
+		// LongestTransfer how much longer than its timeout a call may take in all; 0
+		// means the usual ones.
+		Silence, LongestTransfer timekeeper.Millis
 		// Do sends a request; nil means httpc.DoRequest.
 		Do func(*http.Request) (*http.Response, error)
+		// TimedOut is told of each call that was given up: other connections to the
+		// platform may be as dead as the one that it used. Nil means nobody wants to know.
+		TimedOut func()
 
 		calls Calls
 	}
@@ -197,10 +204,10 @@
 // long the whole takes depends on its length and the path. An answer that is no success is
 // an error, beside which the body is returned.
 func (c *Client) Call(q *http.Request, timeout timekeeper.Millis) (*http.Response, []byte, error) {
-	ctx, patience := newPatience(q.Context(), timeout)
+	ctx, patience := c.patience(q.Context(), timeout)
 	defer patience.stop()
 	q = q.WithContext(ctx)
-	if q.Body != http.NoBody {
+	if q.ContentLength > shortBody {
 		q.Body = watched{q.Body, patience}
 	}
 	do := c.Do
@@ -209,13 +216,13 @@
 	}
 	p, err := do(q)
 	if err != nil {
-		return nil, nil, classify(q, err, 0)
+		return nil, nil, c.failure(q, err, 0)
 	}
 	defer p.Body.Close()
 	body, err := io.ReadAll(io.LimitReader(watched{p.Body, patience}, maxAnswerBytes))
 	c.calls.Bytes.Add(uint64(len(body)) + uint64(max(q.ContentLength, 0)))
 	if err != nil {
-		return nil, nil, classify(q, err, len(body))
+		return nil, nil, c.failure(q, err, len(body))
 	}
 	return p, body, statusError(q, p.StatusCode, body)
 }
--- a/pkg/storer/client_test.go
+++ b/pkg/storer/client_test.go
@@ -28,7 +28,11 @@
 
 func call(t *testing.T, method, url string, body []byte) ([]byte, error) {
 	t.Helper()
-	c := &storer.Client{Address: url}
+	return callWith(t, &storer.Client{Address: url}, method, body)
+}
+
+func callWith(t *testing.T, c *storer.Client, method string, body []byte) ([]byte, error) {
+	t.Helper()
 	q, err := c.Request(context.Background(), method, "/", body)
 	if err != nil {
 		t.Fatal(err)
@@ -108,15 +112,37 @@
 			}))
 			defer s.Close()
 
-			_, err := call(t, http.MethodGet, s.URL, nil)
+			c := &storer.Client{Address: s.URL, Silence: 2 * timeout}
+			_, err := callWith(t, c, http.MethodGet, nil)
 			var given *storer.TimeoutError
 			is.True(errors.As(err, &given))
 			is.Equal(given.Read, x.send)
 			is.True(errors.Is(err, storer.ErrUnreachable))
 			is.Equal(storer.Outcome(err), "timeout")
 
-			_, err = call(t, http.MethodPut, s.URL, []byte("x"))
+			_, err = callWith(t, c, http.MethodPut, []byte("x"))
 			is.True(errors.Is(err, storer.ErrUnknown)) // it may have taken effect
 		})
 	}
 }
+
+// TestTrickleEnds has an answer whose bytes never stop coming.
+func TestTrickleEnds(t *testing.T) {
+	is := is.New(t)
+	s := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		for r.Context().Err() == nil {
+			_, _ = w.Write(make([]byte, piece))
+			_ = http.NewResponseController(w).Flush()
+			time.Sleep(pause)
+		}
+	}))
+	defer s.Close()
+	told := 0
+	c := &storer.Client{Address: s.URL, LongestTransfer: 2 * timeout, TimedOut: func() { told++ }}
+
+	_, err := callWith(t, c, http.MethodGet, nil)
+	var given *storer.TimeoutError
+	is.True(errors.As(err, &given))
+	is.True(given.Read > piece) // it was read for longer than it had to begin
+	is.Equal(told, 1)
+}
--- a/pkg/storer/outcome.go
+++ b/pkg/storer/outcome.go
@@ -50,17 +50,20 @@
 	return "unreachable"
 }
 
-// classify tells a call that certainly did not arrive from one that may have, and one
+// failure tells a call that certainly did not arrive from one that may have, and one
 // that was given up, after some bytes of its answer, from one that was broken off.
-func classify(q *http.Request, err error, read int) error {
+func (c *Client) failure(q *http.Request, err error, read int) error {
 	var op *net.OpError
 	dialled := !(errors.As(err, &op) && op.Op == "dial")
 	outcome := ErrUnreachable
 	if dialled && q.Method != http.MethodGet {
 		outcome = ErrUnknown
 	}
-	if errors.Is(context.Cause(q.Context()), context.DeadlineExceeded) {
-		return eris.Wrapf(&TimeoutError{Outcome: outcome, Read: read}, "%s %s", q.Method, q.URL.Path)
+	if !errors.Is(context.Cause(q.Context()), context.DeadlineExceeded) {
+		return eris.Wrapf(outcome, "%s %s: %v", q.Method, q.URL.Path, err)
 	}
-	return eris.Wrapf(outcome, "%s %s: %v", q.Method, q.URL.Path, err)
+	if c.TimedOut != nil {
+		c.TimedOut()
+	}
+	return eris.Wrapf(&TimeoutError{Outcome: outcome, Read: read}, "%s %s", q.Method, q.URL.Path)
 }
--- a/pkg/storer/patience.go
+++ b/pkg/storer/patience.go
@@ -1,6 +1,7 @@
 package storer
 
 import (
+	"cmp"
 	"context"
 	"io"
 	"sync"
@@ -20,23 +21,35 @@
 	// longestTransfer bounds the transfer of one call, so that one that trickles ends:
 	// MaxObjectBytes in this time are 70 KB/s, a twentieth of the narrowest link.
 	longestTransfer = 15 * timekeeper.Second
+
+	// shortBody is up to which length, in bytes, the sending of a body is not watched: it
+	// fits into the buffers of a connection, and an unwatched one leaves together with its
+	// head, in one packet in place of two.
+	shortBody = 64 << 10
 )
 
 // patience ends a call that makes no progress. It begins with the time that a call has for
-// its answer to begin; whatever moves extends that by silence, and never shortens it.
+// its answer to begin; whatever moves extends that by the longest silence, and never
+// shortens it.
 type patience struct {
-	end   context.CancelCauseFunc
-	lock  sync.Mutex
-	timer *time.Timer
-	until time.Time
-	last  time.Time
+	end     context.CancelCauseFunc
+	silence time.Duration
+	lock    sync.Mutex
+	timer   *time.Timer
+	until   time.Time
+	last    time.Time
 }
 
-// newPatience returns a context that ends when a call has made no progress for too long.
-func newPatience(ctx context.Context, timeout timekeeper.Millis) (context.Context, *patience) {
+// patience returns a context that ends when a call has made no progress for too long.
+func (c *Client) patience(ctx context.Context, timeout timekeeper.Millis) (context.Context, *patience) {
 	ctx, end := context.WithCancelCause(ctx)
 	until := time.Now().Add(timeout.Duration())
-	p := &patience{end: end, until: until, last: until.Add(longestTransfer.Duration())}
+	p := &patience{
+		end:     end,
+		silence: cmp.Or(c.Silence, silence).Duration(),
+		until:   until,
+		last:    until.Add(cmp.Or(c.LongestTransfer, longestTransfer).Duration()),
+	}
 	p.timer = time.AfterFunc(timeout.Duration(), p.expire)
 	return ctx, p
 }
@@ -55,7 +68,7 @@
 func (p *patience) moved() {
 	p.lock.Lock()
 	defer p.lock.Unlock()
-	until := time.Now().Add(silence.Duration())
+	until := time.Now().Add(p.silence)
 	if until.After(p.last) {
 		until = p.last
 	}
