locator: a table whose upload was broken off is saved again under its name

Change: a part that exists, or whose create was not answered, is read back; if it is the same, the upload goes on. Another text under the name is a conflict as before.

Measured: TestSaveGoesOn, new: 'object has another revision' at part 0 before, passes now.

--- a/internal/version/locator/store.go
+++ b/internal/version/locator/store.go
@@ -5,6 +5,7 @@
 	"bytes"
 	"compress/gzip"
 	"context"
+	"errors"
 	"fmt"
 	"io"
 	"net/netip"
@@ -68,7 +69,8 @@
 	return b.Add(p, registrar.Site(strings.TrimSpace(site)))
 }
 
-// Save stores the text of a table under a name that was not used before.
+// Save stores the text of a table under a name that was not used before, except by a Save of
+// the same text that was broken off: what that one stored is kept.
 func Save(ctx context.Context, c *storer.Client, name string, text io.Reader) (int, error) {
 	s := bufio.NewScanner(text)
 	blocks := 0
@@ -80,13 +82,27 @@
 		if n == 0 {
 			return blocks, nil
 		}
-		if _, err := c.Create(ctx, fmt.Sprintf("%s%s/%06d", prefix, name, part), body); err != nil {
+		if err := savePart(ctx, c, fmt.Sprintf("%s%s/%06d", prefix, name, part), body); err != nil {
 			return blocks, eris.Wrapf(err, "table %s part %d", name, part)
 		}
 		blocks += n
 	}
 }
 
+// savePart stores a part unless it is stored already. A create whose answer was lost, or
+// that finds an object, is settled by reading that back.
+func savePart(ctx context.Context, c *storer.Client, name string, body []byte) error {
+	_, err := c.Create(ctx, name, body)
+	if !errors.Is(err, storer.ErrConflict) && !errors.Is(err, storer.ErrUnknown) {
+		return err
+	}
+	o, readErr := c.Get(ctx, name)
+	if readErr == nil && bytes.Equal(o.Body, body) {
+		return nil
+	}
+	return err
+}
+
 func nextPart(s *bufio.Scanner) ([]byte, int, error) {
 	var b bytes.Buffer
 	z := gzip.NewWriter(&b)
--- a/internal/version/locator/table_test.go
+++ b/internal/version/locator/table_test.go
@@ -2,7 +2,9 @@
 
 import (
 	"context"
+	"errors"
 	"fmt"
+	"net/http"
 	"net/http/httptest"
 	"net/netip"
 	"strings"
@@ -65,6 +67,35 @@
 	is.True(err != nil)
 }
 
+// TestSaveGoesOn has an upload of a table broken off in the middle: the same text can be
+// saved again under the name, and another text can't.
+func TestSaveGoesOn(t *testing.T) {
+	is := is.New(t)
+	s := httptest.NewServer(&platform.Server{})
+	defer s.Close()
+	ctx := context.Background()
+	left := 2
+	c := &storer.Client{Address: s.URL, Do: func(q *http.Request) (*http.Response, error) {
+		if left == 0 {
+			return nil, errors.New("broken off")
+		}
+		left--
+		return http.DefaultClient.Do(q)
+	}}
+	_, err := locator.Save(ctx, c, "one", strings.NewReader(blocks(100001)))
+	is.True(err != nil)
+
+	left = 100
+	_, err = locator.Save(ctx, c, "one", strings.NewReader("10.0.0.0/8 r9/d9\n"+blocks(100001)))
+	is.True(errors.Is(err, storer.ErrConflict))
+	n, err := locator.Save(ctx, c, "one", strings.NewReader(blocks(100001)))
+	is.NoErr(err)
+	is.Equal(n, 100001)
+	table, err := locator.Load(ctx, c, "one")
+	is.NoErr(err)
+	is.Equal(table.Len(), 100001)
+}
+
 // BenchmarkLoad reads tables from the store, and tells their size there.
 func BenchmarkLoad(b *testing.B) {
 	for _, n := range []int{10000, 100000, 390000} {
