locator: a whole table is not stored twice under a name

Change: a save that finds its last part stored is a conflict, as before; one that was broken off has parts left to store.

--- a/internal/version/locator/store.go
+++ b/internal/version/locator/store.go
@@ -70,37 +70,44 @@
 }
 
 // Save stores the text of a table under a name that was not used before, except by a Save of
-// the same text that was broken off: what that one stored is kept.
+// the same text that was broken off: what that one stored is kept, and this one adds a part
+// at least.
 func Save(ctx context.Context, c *storer.Client, name string, text io.Reader) (int, error) {
 	s := bufio.NewScanner(text)
 	blocks := 0
+	// found is the conflict with the last part, if that was stored before.
+	var found error
 	for part := 0; ; part++ {
 		body, n, err := nextPart(s)
 		if err != nil {
 			return blocks, err
 		}
 		if n == 0 {
-			return blocks, nil
+			return blocks, found
 		}
-		if err := savePart(ctx, c, fmt.Sprintf("%s%s/%06d", prefix, name, part), body); err != nil {
+		found, err = savePart(ctx, c, fmt.Sprintf("%s%s/%06d", prefix, name, part), body)
+		if err != nil {
 			return blocks, eris.Wrapf(err, "table %s part %d", name, part)
 		}
 		blocks += n
 	}
 }
 
-// savePart stores a part unless it is stored already. A create whose answer was lost, or
-// that finds an object, is settled by reading that back.
-func savePart(ctx context.Context, c *storer.Client, name string, body []byte) error {
-	_, err := c.Create(ctx, name, body)
+// savePart stores a part unless it is stored already, which it returns as found. A create
+// whose answer was lost, or that finds an object, is settled by reading that back.
+func savePart(ctx context.Context, c *storer.Client, name string, body []byte) (found, err error) {
+	_, err = c.Create(ctx, name, body)
 	if !errors.Is(err, storer.ErrConflict) && !errors.Is(err, storer.ErrUnknown) {
-		return err
+		return nil, err
 	}
 	o, readErr := c.Get(ctx, name)
-	if readErr == nil && bytes.Equal(o.Body, body) {
-		return nil
+	if readErr != nil || !bytes.Equal(o.Body, body) {
+		return nil, err
+	}
+	if errors.Is(err, storer.ErrUnknown) {
+		return nil, nil
 	}
-	return err
+	return err, nil
 }
 
 func nextPart(s *bufio.Scanner) ([]byte, int, error) {
--- a/internal/version/locator/table_test.go
+++ b/internal/version/locator/table_test.go
@@ -94,6 +94,8 @@
 	table, err := locator.Load(ctx, c, "one")
 	is.NoErr(err)
 	is.Equal(table.Len(), 100001)
+	_, err = locator.Save(ctx, c, "one", strings.NewReader(blocks(100001)))
+	is.True(errors.Is(err, storer.ErrConflict)) // nothing was left to store
 }
 
 // BenchmarkLoad reads tables from the store, and tells their size there.
