commander, storer: an upload is limited by its progress as well

A table of 390,000 blocks, 10 MB, takes 8 s at 10 Mbit/s: it ended after 5 s each time, and was then sent to the next daemon from nothing.

Change: the command line uses the store's client for its calls; a body that is sent gives its receiver the whole time to answer after its last byte. An error tells a call that reached nobody from one that was lost (DialError). 90 s in all.

--- a/internal/process/commander/client.go
+++ b/internal/process/commander/client.go
@@ -6,8 +6,6 @@
 	"encoding/json"
 	"errors"
 	"fmt"
-	"io"
-	"net"
 	"net/http"
 	"net/netip"
 	"os"
@@ -15,10 +13,10 @@
 	"strings"
 	"time"
 
-	"github.com/zeromicro/go-zero/rest/httpc"
-
 	"github.com/gullvale/gullvale/internal/process/operator"
 	"github.com/gullvale/gullvale/internal/version/parser"
+	"github.com/gullvale/gullvale/pkg/storer"
+	"github.com/gullvale/gullvale/pkg/timekeeper"
 )
 
 // The environment of the command line. Each goes before the file.
@@ -41,7 +39,13 @@
 const (
 	defaultFile = ".config/gullvale/operator.toml"
 
-	callTimeout = 5 * time.Second
+	// callTimeout is how long a daemon has to begin its answer to a call that it has
+	// received whole.
+	callTimeout = 5 * timekeeper.Second
+
+	// longestUpload bounds a call with its body and answer: a table of 390,000 blocks, 10
+	// MB, takes 8 s at 10 Mbit/s, and ten times that from a phone on a bad day.
+	longestUpload = 90 * timekeeper.Second
 
 	// settleTime is how long a change whose answer was lost is asked for
 	// again.
@@ -205,28 +209,19 @@
 }
 
 func (c *client) call(ctx context.Context, method, address, path string, body []byte, answer any) error {
-	ctx, cancel := context.WithTimeout(ctx, callTimeout)
-	defer cancel()
-	q, err := http.NewRequestWithContext(ctx, method, "http://"+address+path, bytes.NewReader(body))
+	daemon := &storer.Client{Address: "http://" + address, Token: c.token, LongestTransfer: longestUpload}
+	q, err := daemon.Request(ctx, method, path, body)
 	if err != nil {
 		return failure{ExitInput, err.Error()}
 	}
-	q.GetBody = nil
-	q.Header.Set("Authorization", "Bearer "+c.token)
-	p, err := httpc.DoRequest(q)
-	if err != nil {
-		var op *net.OpError
-		if errors.As(err, &op) && op.Op == "dial" {
-			return dialError{err}
-		}
-		return lostError{err}
-	}
-	defer p.Body.Close()
-	data, err := io.ReadAll(p.Body)
-	if err != nil {
+	p, data, err := daemon.Call(q, callTimeout)
+	var dial *storer.DialError
+	switch {
+	case errors.As(err, &dial):
+		return dialError{err}
+	case p == nil:
 		return lostError{err}
-	}
-	if p.StatusCode == http.StatusOK {
+	case p.StatusCode == http.StatusOK:
 		return json.Unmarshal(data, answer)
 	}
 	return explain(p.StatusCode, data)
--- /dev/null
+++ b/internal/process/commander/upload_test.go
@@ -0,0 +1,50 @@
+package commander_test
+
+import (
+	"bytes"
+	"context"
+	"io"
+	"net"
+	"net/http"
+	"net/http/httptest"
+	"testing"
+	"time"
+
+	"github.com/matryer/is"
+
+	"github.com/gullvale/gullvale/internal/process/commander"
+)
+
+// TestLargeTableOverANarrowLink sends a table for which the path takes longer than a daemon
+// has to answer a call: with a limit on the whole, the upload ended after 5 s, each time.
+func TestLargeTableOverANarrowLink(t *testing.T) {
+	is := is.New(t)
+	const (
+		length = 10 << 20
+		pieces = 60
+		pause  = 100 * time.Millisecond
+	)
+	received := 0
+	s := httptest.NewUnstartedServer(http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		for b := make([]byte, length/pieces); ; time.Sleep(pause) {
+			n, err := io.ReadFull(r.Body, b)
+			received += n
+			if err != nil {
+				break
+			}
+		}
+		_, _ = io.WriteString(w, "{}")
+	}))
+	s.Config.ConnState = func(c net.Conn, _ http.ConnState) {
+		// What the kernel buffers would hide the narrow link.
+		if c, ok := c.(*net.TCPConn); ok {
+			_ = c.SetReadBuffer(64 << 10)
+		}
+	}
+	s.Start()
+	defer s.Close()
+
+	text := bytes.Repeat([]byte("x"), length)
+	is.NoErr(commander.PostBlocks(context.Background(), s.Listener.Addr().String(), "places", text))
+	is.Equal(received, length)
+}
--- a/pkg/storer/client.go
+++ b/pkg/storer/client.go
@@ -2,6 +2,7 @@
 
 import (
 	"bytes"
+	"cmp"
 	"context"
 	"encoding/json"
 	"io"
@@ -200,15 +201,18 @@
 }
 
 // Call makes a call that Request built and returns its answer with the body read.
-// The answer must begin within the timeout, and go on without long silence after that: how
-// long the whole takes depends on its length and the path. An answer that is no success is
+// The answer must begin within the timeout after the last byte of a long body, and go on
+// without long silence after that: how long the whole takes depends on its length and the
+// path. An answer that is no success is
 // an error, beside which the body is returned.
 func (c *Client) Call(q *http.Request, timeout timekeeper.Millis) (*http.Response, []byte, error) {
 	ctx, patience := c.patience(q.Context(), timeout)
 	defer patience.stop()
 	q = q.WithContext(ctx)
+	rest := cmp.Or(c.Silence, silence).Duration()
 	if q.ContentLength > shortBody {
-		q.Body = watched{q.Body, patience}
+		// What is read of a body may yet wait in the buffers of the connection.
+		q.Body = watched{q.Body, patience, timeout.Duration() + rest}
 	}
 	do := c.Do
 	if do == nil {
@@ -219,7 +223,7 @@
 		return nil, nil, c.failure(q, err, 0)
 	}
 	defer p.Body.Close()
-	body, err := io.ReadAll(io.LimitReader(watched{p.Body, patience}, maxAnswerBytes))
+	body, err := io.ReadAll(io.LimitReader(watched{p.Body, patience, rest}, maxAnswerBytes))
 	c.calls.Bytes.Add(uint64(len(body)) + uint64(max(q.ContentLength, 0)))
 	if err != nil {
 		return nil, nil, c.failure(q, err, len(body))
--- a/pkg/storer/outcome.go
+++ b/pkg/storer/outcome.go
@@ -10,13 +10,20 @@
 	"github.com/rotisserie/eris"
 )
 
-// TimeoutError reports a call that was given up before its answer was whole.
-type TimeoutError struct {
-	// Outcome is ErrUnreachable, or ErrUnknown for a write that may have arrived.
-	Outcome error
-	// Read is how many bytes of the answer had come.
-	Read int
-}
+type (
+	// TimeoutError reports a call that was given up before its answer was whole.
+	TimeoutError struct {
+		// Outcome is ErrUnreachable, or ErrUnknown for a write that may have arrived.
+		Outcome error
+		// Read is how many bytes of the answer had come.
+		Read int
+	}
+
+	// DialError reports a call that reached nobody.
+	DialError struct {
+		Cause error
+	}
+)
 
 // Error says what is known of the call.
 func (e *TimeoutError) Error() string {
@@ -28,6 +35,16 @@
 	return e.Outcome
 }
 
+// Error says why nobody was reached.
+func (e *DialError) Error() string {
+	return fmt.Sprintf("not connected: %v: %v", e.Cause, ErrUnreachable)
+}
+
+// Unwrap returns the outcome.
+func (e *DialError) Unwrap() error {
+	return ErrUnreachable
+}
+
 // Outcome names how a call ended, for counters: ok, or the kind of its error.
 func Outcome(err error) string {
 	var timeout *TimeoutError
@@ -54,9 +71,11 @@
 // that was given up, after some bytes of its answer, from one that was broken off.
 func (c *Client) failure(q *http.Request, err error, read int) error {
 	var op *net.OpError
-	dialled := !(errors.As(err, &op) && op.Op == "dial")
+	if errors.As(err, &op) && op.Op == "dial" {
+		return eris.Wrapf(&DialError{Cause: err}, "%s %s", q.Method, q.URL.Path)
+	}
 	outcome := ErrUnreachable
-	if dialled && q.Method != http.MethodGet {
+	if q.Method != http.MethodGet {
 		outcome = ErrUnknown
 	}
 	if !errors.Is(context.Cause(q.Context()), context.DeadlineExceeded) {
--- a/pkg/storer/patience.go
+++ b/pkg/storer/patience.go
@@ -32,12 +32,11 @@
 // its answer to begin; whatever moves extends that by the longest silence, and never
 // shortens it.
 type patience struct {
-	end     context.CancelCauseFunc
-	silence time.Duration
-	lock    sync.Mutex
-	timer   *time.Timer
-	until   time.Time
-	last    time.Time
+	end   context.CancelCauseFunc
+	lock  sync.Mutex
+	timer *time.Timer
+	until time.Time
+	last  time.Time
 }
 
 // patience returns a context that ends when a call has made no progress for too long.
@@ -45,10 +44,9 @@
 	ctx, end := context.WithCancelCause(ctx)
 	until := time.Now().Add(timeout.Duration())
 	p := &patience{
-		end:     end,
-		silence: cmp.Or(c.Silence, silence).Duration(),
-		until:   until,
-		last:    until.Add(cmp.Or(c.LongestTransfer, longestTransfer).Duration()),
+		end:   end,
+		until: until,
+		last:  until.Add(cmp.Or(c.LongestTransfer, longestTransfer).Duration()),
 	}
 	p.timer = time.AfterFunc(timeout.Duration(), p.expire)
 	return ctx, p
@@ -64,11 +62,11 @@
 	p.end(nil)
 }
 
-// moved notes progress.
-func (p *patience) moved() {
+// moved notes progress, after which nothing may move for a while.
+func (p *patience) moved(rest time.Duration) {
 	p.lock.Lock()
 	defer p.lock.Unlock()
-	until := time.Now().Add(p.silence)
+	until := time.Now().Add(rest)
 	if until.After(p.last) {
 		until = p.last
 	}
@@ -78,17 +76,19 @@
 	}
 }
 
-// watched is a body whose reading is progress.
+// watched is a body whose reading is progress. After the last byte of an answer silence is
+// its end, and after that of a body that is sent the answer has all its time to begin.
 type watched struct {
 	io.ReadCloser
 	patience *patience
+	rest     time.Duration
 }
 
 // Read reads on and notes that something moved.
 func (w watched) Read(b []byte) (int, error) {
 	n, err := w.ReadCloser.Read(b)
 	if n > 0 {
-		w.patience.moved()
+		w.patience.moved(w.rest)
 	}
 	return n, err
 }
