pooler: failing test of dials that are overtaken

The next call finds none free and dials too, since nobody counts the dial.

Change: an owner has a dialer as a seam (nil: TCP, as before), and the test lets one dial through and holds the others. No logic is changed.

--- a/internal/connection/pooler/owner.go
+++ b/internal/connection/pooler/owner.go
@@ -32,6 +32,9 @@
 	// Owner holds the pools of one daemon. The zero value owns nothing.
 	Owner struct {
 		Clock timekeeper.Clock
+		// Dial opens a connection to an upstream. Nil means over TCP, within
+		// dialTimeout.
+		Dial func(ctx context.Context, address string) (net.Conn, error)
 		// Valid tells whether this daemon may send to upstreams. Nil means
 		// always.
 		Valid func() bool
@@ -62,7 +65,7 @@
 	for k, w := range wanted {
 		p := o.pools[k]
 		if p == nil {
-			p = newPool(o.Clock, w.Settings, func() { o.changed(k) })
+			p = newPool(o.Clock, w.Settings, o.dialer(), func() { o.changed(k) })
 			o.pools[k] = p
 		}
 		fresh = append(fresh, p.set(w)...)
@@ -76,6 +79,13 @@
 	return fresh
 }
 
+func (o *Owner) dialer() dialer {
+	if o.Dial == nil {
+		return dialTCP
+	}
+	return o.Dial
+}
+
 func (p *Pool) set(w Owned) []string {
 	p.lock.Lock()
 	defer p.lock.Unlock()
@@ -96,7 +106,7 @@
 			fresh = append(fresh, a)
 			continue
 		}
-		p.upstreams = append(p.upstreams, newUpstream(a, w.Settings.Slots, p.clock.Now()))
+		p.upstreams = append(p.upstreams, newUpstream(a, w.Settings.Slots, p.clock.Now(), p.dial))
 		fresh = append(fresh, a)
 	}
 	for _, u := range p.upstreams {
--- a/internal/connection/pooler/pool.go
+++ b/internal/connection/pooler/pool.go
@@ -19,6 +19,7 @@
 	// Pool is the owned upstreams of one service at one site.
 	Pool struct {
 		clock timekeeper.Clock
+		dial  dialer
 
 		lock      sync.Mutex
 		settings  *resolver.Service
@@ -53,9 +54,10 @@
 	}
 )
 
-func newPool(c timekeeper.Clock, s *resolver.Service, notify func()) *Pool {
+func newPool(c timekeeper.Clock, s *resolver.Service, dial dialer, notify func()) *Pool {
 	return &Pool{
 		clock:    c,
+		dial:     dial,
 		settings: s,
 		waiting:  list.New(),
 		work:     map[registrar.Site]timekeeper.Millis{},
--- a/internal/connection/pooler/pool_test.go
+++ b/internal/connection/pooler/pool_test.go
@@ -41,11 +41,16 @@
 func newOwner(s *resolver.Service) (*pooler.Owner, *clock) {
 	c := &clock{}
 	o := &pooler.Owner{Clock: timekeeper.Clock{Monotonic: c.reading}}
+	own(o, c, s)
+	return o, c
+}
+
+// own makes o own and claim the upstreams, and waits until they are warm.
+func own(o *pooler.Owner, c *clock, s *resolver.Service) {
 	for _, u := range o.Set(map[pooler.Key]pooler.Owned{key: {Settings: s, Upstreams: s.Upstreams}}) {
 		o.Claimed(u, 0)
 	}
 	c.now.Add(60000)
-	return o, c
 }
 
 // call is a GET, or a POST when it has a body.
--- a/internal/connection/pooler/upstream.go
+++ b/internal/connection/pooler/upstream.go
@@ -1,7 +1,6 @@
 package pooler
 
 import (
-	"net"
 	"net/http"
 
 	"github.com/gullvale/gullvale/pkg/timekeeper"
@@ -16,9 +15,6 @@
 	// rampEvery is how long a new or returning upstream stays at a limit
 	// before it is doubled.
 	rampEvery = 250 * timekeeper.Millis(1)
-
-	idleTimeout = 60 * timekeeper.Second
-	dialTimeout = 2 * timekeeper.Second
 )
 
 // upstream is one owned server. Its pool's lock protects it.
@@ -46,19 +42,8 @@
 	upSince   timekeeper.Millis
 }
 
-func newUpstream(address string, slots int, now timekeeper.Millis) *upstream {
-	d := net.Dialer{Timeout: dialTimeout.Duration()}
-	return &upstream{
-		address: address,
-		upSince: now,
-		transport: &http.Transport{
-			DialContext:         d.DialContext,
-			MaxIdleConnsPerHost: slots,
-			IdleConnTimeout:     idleTimeout.Duration(),
-			// The answer passes through as it is.
-			DisableCompression: true,
-		},
-	}
+func newUpstream(address string, slots int, now timekeeper.Millis, dial dialer) *upstream {
+	return &upstream{address: address, upSince: now, transport: newTransport(slots, dial)}
 }
 
 // limit is how many requests u may have now: none while it is down, leaving or
