pooler: a refusal or a probe with a body keeps its connection

Cause: the transport keeps a connection only if the body of the answer was read to its end. Refusals of an upstream and answers to probes were closed unread, so each that has a body gave its connection up and the next one dialled. Class: a connection that is thrown away although the exchange ended well.

Change: a body that nobody wants is read to its end, if it announces at most 2 KB and comes within 50 ms; all others are closed unread, as before.

Ruled out: reading it in the background (the slot would be free before its connection is); reading without a bound (a refused caller would wait for a body that does not come: TestRefusalDoesNotWaitForItsBody).

The stand-ins' refusals and probes have no body, so BenchmarkRun and the tests of whole deployments do not tell.

--- a/internal/connection/pooler/owner.go
+++ b/internal/connection/pooler/owner.go
@@ -290,8 +290,8 @@
 	ok := err == nil && r.StatusCode < http.StatusInternalServerError
 	if err == nil {
 		leaving := r.Header.Get(s.DrainHeader) != ""
-		r.Body.Close()
 		p.observe(u, leaving, ok)
+		discard(r)
 	} else if ctx.Err() == nil {
 		p.markDown(u)
 	}
--- a/internal/connection/pooler/send.go
+++ b/internal/connection/pooler/send.go
@@ -95,6 +95,7 @@
 	a.status = p.StatusCode
 	a.observe(p)
 	if p.Header.Get(a.pool.refusalHeader()) != "" {
+		discard(p)
 		r := exchanger.Refused(exchanger.ReasonUpstreamBusy, retryAfter)
 		r.Upstream = a.up.address
 		return r
