--- /dev/null
+++ b/internal/connection/pooler/dial_test.go
@@ -0,0 +1,176 @@
+package pooler_test
+
+import (
+	"context"
+	"io"
+	"net"
+	"net/http"
+	"net/http/httptest"
+	"runtime"
+	"sync/atomic"
+	"testing"
+
+	"github.com/matryer/is"
+
+	"github.com/gullvale/gullvale/internal/connection/pooler"
+	"github.com/gullvale/gullvale/internal/request/exchanger"
+	"github.com/gullvale/gullvale/internal/version/resolver"
+	"github.com/gullvale/gullvale/pkg/timekeeper"
+)
+
+// gate is a dialer whose dials hang until it is opened, but for those that may
+// pass.
+type gate struct {
+	begun  atomic.Int64
+	passes func(nth int64) bool
+	open   chan struct{}
+}
+
+// newGate returns a gate that opens when the test ends.
+func newGate(t *testing.T, passes func(nth int64) bool) *gate {
+	t.Helper()
+	g := &gate{passes: passes, open: make(chan struct{})}
+	t.Cleanup(func() { close(g.open) })
+	return g
+}
+
+func (g *gate) dial(ctx context.Context, address string) (net.Conn, error) {
+	if !g.passes(g.begun.Add(1)) {
+		select {
+		case <-g.open:
+		case <-ctx.Done():
+			return nil, ctx.Err()
+		}
+	}
+	return new(net.Dialer).DialContext(ctx, "tcp", address)
+}
+
+// newGatedOwner is newOwner with connections through a gate.
+func newGatedOwner(s *resolver.Service, g *gate) *pooler.Owner {
+	c := &clock{}
+	o := &pooler.Owner{Clock: timekeeper.Clock{Monotonic: c.reading}, Dial: g.dial}
+	own(o, c, s)
+	return o
+}
+
+// start begins calls, each of which sends its result.
+func start(ctx context.Context, o *pooler.Owner, calls int) chan exchanger.Result {
+	results := make(chan exchanger.Result, calls)
+	for range calls {
+		go func() { results <- o.Run(ctx, call("x", nil, io.Discard)) }()
+	}
+	return results
+}
+
+// awaitBusy waits until so many slots are held.
+func awaitBusy(o *pooler.Owner, busy int) {
+	for o.Pools()[key].Load().Busy != busy {
+		runtime.Gosched()
+	}
+}
+
+// TestOvertakenDialsAreCounted lets the first dial through while all others hang,
+// so calls in threes are answered over one connection: each is given it before its
+// own dial ends. Dials under way count as connections, so the next calls begin
+// none beyond the slots and a spare one.
+func TestOvertakenDialsAreCounted(t *testing.T) {
+	is := is.New(t)
+	const slots = 3
+	address, entered, leave := startHeld(t)
+	g := newGate(t, func(nth int64) bool { return nth == 1 })
+	o := newGatedOwner(settings(slots, 10, address), g)
+	for range 10 {
+		results := start(context.Background(), o, slots)
+		awaitBusy(o, slots)
+		for range slots {
+			<-entered
+			leave <- struct{}{}
+		}
+		for range slots {
+			is.Equal((<-results).Outcome, exchanger.Answered)
+		}
+	}
+	begun := g.begun.Load()
+	t.Log("dials begun:", begun)
+	is.True(begun <= slots+1)
+}
+
+// TestHungDialHoldsNoSlot has a dial hang whose call was answered over another
+// connection. All slots can be used all the same.
+func TestHungDialHoldsNoSlot(t *testing.T) {
+	is := is.New(t)
+	const slots = 2
+	address, entered, leave := startHeld(t)
+	g := newGate(t, func(nth int64) bool { return nth != 2 })
+	o := newGatedOwner(settings(slots, 10, address), g)
+	first := start(context.Background(), o, 1)
+	<-entered
+	second := start(context.Background(), o, 1)
+	for g.begun.Load() != 2 {
+		runtime.Gosched()
+	}
+	leave <- struct{}{}
+	<-entered
+	leave <- struct{}{}
+	is.Equal((<-first).Outcome, exchanger.Answered)
+	is.Equal((<-second).Outcome, exchanger.Answered)
+	useAllSlots(t, o, slots, entered, leave)
+}
+
+// TestCancelledDialHoldsNoSlot cancels more calls whose dials hang than an upstream
+// may have connections. All slots can be used after that.
+func TestCancelledDialHoldsNoSlot(t *testing.T) {
+	is := is.New(t)
+	const slots, cancelled = 2, 10
+	address, entered, leave := startHeld(t)
+	g := newGate(t, func(nth int64) bool { return nth > cancelled })
+	o := newGatedOwner(settings(slots, 10, address), g)
+	for i := range int64(cancelled) {
+		ctx, cancel := context.WithCancel(context.Background())
+		results := start(ctx, o, 1)
+		for g.begun.Load() != i+1 {
+			runtime.Gosched()
+		}
+		cancel()
+		is.Equal((<-results).Outcome, exchanger.NotRun)
+	}
+	useAllSlots(t, o, slots, entered, leave)
+}
+
+// TestProbeNeedsNoSlot probes an upstream all of whose connections for requests are
+// in use, but for one that hangs.
+func TestProbeNeedsNoSlot(t *testing.T) {
+	is := is.New(t)
+	const slots = 2
+	entered, leave := make(chan struct{}, 10), make(chan struct{})
+	s := httptest.NewServer(http.HandlerFunc(func(_ http.ResponseWriter, r *http.Request) {
+		if r.URL.Path == "/health" {
+			return
+		}
+		entered <- struct{}{}
+		<-leave
+	}))
+	t.Cleanup(s.Close)
+	g := newGate(t, func(nth int64) bool { return nth != 2 })
+	o := newGatedOwner(settings(slots, 10, s.Listener.Addr().String()), g)
+	probed := make(chan bool, 10)
+	o.Probed = func(_ pooler.Key, _ string, ok bool) { probed <- ok }
+	first := start(context.Background(), o, 1)
+	<-entered
+	second := start(context.Background(), o, 1)
+	for g.begun.Load() != 2 {
+		runtime.Gosched()
+	}
+	leave <- struct{}{}
+	<-entered
+	is.Equal((<-first).Outcome, exchanger.Answered)
+	third := start(context.Background(), o, 1)
+	<-entered
+	ctx, cancel := context.WithCancel(context.Background())
+	defer cancel()
+	go o.RunUpkeep(ctx)
+	is.True(<-probed)
+	close(leave)
+	is.Equal((<-second).Outcome, exchanger.Answered)
+	is.Equal((<-third).Outcome, exchanger.Answered)
+}
--- a/internal/connection/pooler/owner.go
+++ b/internal/connection/pooler/owner.go
@@ -32,6 +32,9 @@
 	// Owner holds the pools of one daemon. The zero value owns nothing.
 	Owner struct {
 		Clock timekeeper.Clock
+		// Dial opens a connection to an upstream. Nil means over TCP, within
+		// dialTimeout.
+		Dial func(ctx context.Context, address string) (net.Conn, error)
 		// Valid tells whether this daemon may send to upstreams. Nil means
 		// always.
 		Valid func() bool
@@ -62,7 +65,7 @@
 	for k, w := range wanted {
 		p := o.pools[k]
 		if p == nil {
-			p = newPool(o.Clock, w.Settings, func() { o.changed(k) })
+			p = newPool(o.Clock, w.Settings, o.dialer(), func() { o.changed(k) })
 			o.pools[k] = p
 		}
 		fresh = append(fresh, p.set(w)...)
@@ -76,6 +79,13 @@
 	return fresh
 }
 
+func (o *Owner) dialer() dialer {
+	if o.Dial == nil {
+		return dialTCP
+	}
+	return o.Dial
+}
+
 func (p *Pool) set(w Owned) []string {
 	p.lock.Lock()
 	defer p.lock.Unlock()
@@ -87,17 +97,16 @@
 	}
 	var fresh []string
 	for _, a := range w.Upstreams {
-		if u := have[a]; u != nil && u.claimed {
-			u.removed = false
-			continue
+		u := have[a]
+		if u == nil {
+			u = newUpstream(a, w.Settings.Slots, p.clock.Now(), p.dial)
+			p.upstreams = append(p.upstreams, u)
 		}
-		if u := have[a]; u != nil {
-			u.removed = false
+		u.removed = false
+		u.resize(w.Settings.Slots, p.dial)
+		if !u.claimed {
 			fresh = append(fresh, a)
-			continue
 		}
-		p.upstreams = append(p.upstreams, newUpstream(a, w.Settings.Slots, p.clock.Now()))
-		fresh = append(fresh, a)
 	}
 	for _, u := range p.upstreams {
 		// Whoever owns it now will have asked for it. To own it again takes
@@ -277,12 +286,12 @@
 	if err != nil {
 		return
 	}
-	r, err := u.transport.RoundTrip(q)
+	r, err := u.probes.RoundTrip(q)
 	ok := err == nil && r.StatusCode < http.StatusInternalServerError
 	if err == nil {
 		leaving := r.Header.Get(s.DrainHeader) != ""
-		r.Body.Close()
 		p.observe(u, leaving, ok)
+		discard(r)
 	} else if ctx.Err() == nil {
 		p.markDown(u)
 	}
@@ -319,6 +328,13 @@
 	}
 }
 
+// transport returns the transport for requests to u.
+func (p *Pool) transport(u *upstream) *http.Transport {
+	p.lock.Lock()
+	defer p.lock.Unlock()
+	return u.requests
+}
+
 func (p *Pool) refusalHeader() string {
 	p.lock.Lock()
 	defer p.lock.Unlock()
--- a/internal/connection/pooler/upstream.go
+++ b/internal/connection/pooler/upstream.go
@@ -1,7 +1,6 @@
 package pooler
 
 import (
-	"net"
 	"net/http"
 
 	"github.com/gullvale/gullvale/pkg/timekeeper"
@@ -16,15 +15,15 @@
 	// rampEvery is how long a new or returning upstream stays at a limit
 	// before it is doubled.
 	rampEvery = 250 * timekeeper.Millis(1)
-
-	idleTimeout = 60 * timekeeper.Second
-	dialTimeout = 2 * timekeeper.Second
 )
 
 // upstream is one owned server. Its pool's lock protects it.
 type upstream struct {
-	address   string
-	transport *http.Transport
+	address string
+	// requests is for requests, probes for probes only, so that neither waits for
+	// the other's connections.
+	requests *http.Transport
+	probes   *http.Transport
 
 	busy int
 	// elsewhere is how many requests its former owner still has there.
@@ -46,19 +45,28 @@
 	upSince   timekeeper.Millis
 }
 
-func newUpstream(address string, slots int, now timekeeper.Millis) *upstream {
-	d := net.Dialer{Timeout: dialTimeout.Duration()}
+func newUpstream(address string, slots int, now timekeeper.Millis, dial dialer) *upstream {
 	return &upstream{
-		address: address,
-		upSince: now,
-		transport: &http.Transport{
-			DialContext:         d.DialContext,
-			MaxIdleConnsPerHost: slots,
-			IdleConnTimeout:     idleTimeout.Duration(),
-			// The answer passes through as it is.
-			DisableCompression: true,
-		},
+		address:  address,
+		upSince:  now,
+		requests: newRequestTransport(slots, dial),
+		probes:   newTransport(probeConns, dial),
+	}
+}
+
+// resize gives u connections for another number of slots. Requests under way end on
+// those that they have.
+func (u *upstream) resize(slots int, dial dialer) {
+	if u.requests.MaxConnsPerHost == slots+spareConns {
+		return
 	}
+	u.requests.CloseIdleConnections()
+	u.requests = newRequestTransport(slots, dial)
+}
+
+func (u *upstream) closeIdle() {
+	u.requests.CloseIdleConnections()
+	u.probes.CloseIdleConnections()
 }
 
 // limit is how many requests u may have now: none while it is down, leaving or
