assigner, dispatcher, explainer: requests say why their upstream was the choice

Cause: the line of a request named the upstream that ran it and, of a refusal, why the first choice was passed over, but not why that upstream was the choice. Whether a late request ran its key for the first time could only be guessed from the key's lines before, on all VMs.

Change: assigner.Placement goes with the choice from where it is made: home, new key, moved (crowded home, home full, home gone, home not allowed), passed over, repeat, no key, and whether the key had run there before. Home and Move return it; the line has `placed`, `left` and `leftSite`, the metrics gullvale_placements, and `gullvale explain` words for each. Nothing of the decisions changes. Tests of assigner call Home(...).Upstream and compare Move(...).Upstream with nil where they had the bare values; what they check is the same.

Ruled out: to derive it afterwards from the lines of all VMs, since lines over 200 a second are left out and homes that others announce are on no line.

--- a/internal/process/explainer/line.go
+++ b/internal/process/explainer/line.go
@@ -39,6 +39,10 @@
 		Class    string `json:"class"`
 		Upstream string `json:"upstream"`
 		Site     string `json:"site"`
+		// Placed is why Upstream was the choice, Left the home that the key left for it.
+		Placed   string `json:"placed"`
+		Left     string `json:"left"`
+		LeftSite string `json:"leftSite"`
 		Outcome  string `json:"outcome"`
 		Reason   string `json:"reason"`
 		Config   uint64 `json:"config"`
--- /dev/null
+++ b/internal/process/explainer/placement.go
@@ -0,0 +1,40 @@
+package explainer
+
+import (
+	"fmt"
+	"strings"
+
+	"github.com/gullvale/gullvale/internal/request/assigner"
+)
+
+// placements says what the reasons for the choice of an upstream mean.
+var placements = map[assigner.Reason]string{
+	assigner.AtHome:        "it was the key's home as that VM knew it",
+	assigner.NewKey:        "no home of the key was known there: it got one now, and ran there for the first time unless another VM had placed it too",
+	assigner.Unkept:        "the key has no home, since as many keys have one as are kept: it went by its hash",
+	assigner.Relieved:      "the key moved there now: its home had far more load than this one",
+	assigner.Displaced:     "the key moved there now: its home takes no work any more",
+	assigner.Barred:        "the key moved there now: the route may not run any more in the region of its home",
+	assigner.Overflowed:    "the key moved there now: too many requests waited at its home",
+	assigner.Visiting:      "the key's home was passed over for this request, being down, failing or cold, and stays its home",
+	assigner.Repeated:      "it was sent there after another upstream had refused it or broken it off",
+	assigner.RepeatedThere: "it was sent there once more after it had been refused there",
+	assigner.Keyless:       "it has no key that is kept to a home: it went by its hash",
+}
+
+// writePlacement says why the request's upstream was the choice, in logs that tell.
+func (t Try) writePlacement(say func(string, ...any)) {
+	q := t.Request
+	reason, former := strings.CutSuffix(q.Placed, assigner.FormerSuffix)
+	words, ok := placements[assigner.Reason(reason)]
+	if !ok {
+		return
+	}
+	if q.Left != "" {
+		words += fmt.Sprintf("; the home was %s at %s", q.Left, q.LeftSite)
+	}
+	if former {
+		words += "; the key had run there before"
+	}
+	say("%s", words)
+}
--- a/internal/process/explainer/text.go
+++ b/internal/process/explainer/text.go
@@ -75,6 +75,7 @@
 		return
 	}
 	say("upstream %s at %s, %.3g running and waiting as reported, %d of them this VM's own", q.Upstream, q.Site, q.Load, q.Own)
+	t.writePlacement(say)
 	if u := t.Upstream; u != nil {
 		say("last heard of it %s before: %s", ago(q, u), u.state())
 	}
--- a/internal/process/fronter/fronter.go
+++ b/internal/process/fronter/fronter.go
@@ -363,12 +363,17 @@
 		f.Meter.Count("log_lines_dropped", measurer.Labels{})
 		return
 	}
-	f.options.Log.WithFields(logrus.Fields{
+	fields := logrus.Fields{
 		"id": e.ID, "route": e.Route, "service": e.Service, "class": e.Class,
 		"config": e.Config, "behind": int64(e.Behind), "catalog": e.Catalog, "upstream": e.Upstream, "site": e.Site, "key": e.Key,
 		"tries": e.Tries, "outcome": e.Outcome, "reason": e.Reason, "status": e.Status,
 		"ms": int64(e.Took), "objective": int64(e.Objective), "waited": int64(e.Waited), "sentAfter": int64(e.SentAfter), "load": e.Load, "own": e.Own,
-	}).Info("request")
+		"placed": e.Placement.Kind(),
+	}
+	if left := e.Placement.Left; left != nil {
+		fields["left"], fields["leftSite"] = left.ID, left.Site
+	}
+	f.options.Log.WithFields(fields).Info("request")
 }
 
 // dial opens a connection that finds out by itself when the other end is gone.
--- a/internal/process/logger/queue_test.go
+++ b/internal/process/logger/queue_test.go
@@ -59,6 +59,7 @@
 			"id": "9c41d07be2a35f68", "route": "r-6x73d3z", "service": "huvo11a", "class": "once",
 			"config": 7, "catalog": 120, "upstream": "i-7f3a91c2", "key": "17", "tries": 1,
 			"outcome": "answered", "reason": "", "status": 200, "ms": 280, "load": 3.5, "own": 1,
+			"placed": "home",
 		}).Info("request")
 	}
 }
--- a/internal/request/assigner/assigner.go
+++ b/internal/request/assigner/assigner.go
@@ -73,12 +73,14 @@
 		used   timekeeper.Millis
 		// former are upstreams that ran the key before its home, or beside it.
 		former former
+		// seen is the latest home that a request found here, for the account of a move.
+		seen *cataloger.Upstream
 	}
 )
 
 // Home returns the upstream that a key has, and gives it one if it has none that
 // takes work.
-func (a *Assigner) Home(key hasher.Hash, r Request, all []*cataloger.Upstream) *cataloger.Upstream {
+func (a *Assigner) Home(key hasher.Hash, r Request, all []*cataloger.Upstream) Placement {
 	now := a.Clock.Now()
 	a.lock.Lock()
 	defer a.lock.Unlock()
@@ -89,33 +91,41 @@
 	if h != nil {
 		u = find(all, h.upstream, r.Allowed)
 	}
+	p := Placement{Upstream: u, Reason: AtHome}
 	if u == nil {
-		u = a.settle(key, h, r, all, now)
+		p = a.settle(key, h, r, all, now)
 	} else if v := a.relief(key, u, r, all, now); v != nil {
-		u = v
-		a.move(key, h, v)
+		p = a.moveFor(Relieved, key, h, v)
 	}
 	if h = a.homes[key]; h != nil {
-		w := a.unit(now)
-		h.weight += w
-		h.used = now
-		a.loads[h.upstream] += w
+		a.use(h, p.Upstream, now)
+	}
+	return p
+}
+
+// use counts a request of a key that has a home, at u if any takes it.
+func (a *Assigner) use(h *home, u *cataloger.Upstream, now timekeeper.Millis) {
+	w := a.unit(now)
+	h.weight += w
+	h.used = now
+	a.loads[h.upstream] += w
+	if u != nil {
+		h.seen = u
 	}
-	return u
 }
 
-// Move makes a key that waits at a full home live at another upstream.
-func (a *Assigner) Move(key hasher.Hash, to *cataloger.Upstream) bool {
+// Move makes a key that waits at a full home live at another upstream. The zero
+// Placement tells that the key stays.
+func (a *Assigner) Move(key hasher.Hash, to *cataloger.Upstream) Placement {
 	now := a.Clock.Now()
 	a.lock.Lock()
 	defer a.lock.Unlock()
 	a.begin(now)
 	h := a.homes[key]
 	if h == nil || h.upstream == to.Hash() || !a.take(now) {
-		return false
+		return Placement{}
 	}
-	a.move(key, h, to)
-	return true
+	return a.moveFor(Overflowed, key, h, to)
 }
 
 // Learn takes homes over that another daemon announced.
@@ -184,25 +194,24 @@
 }
 
 // settle gives a key a home among the upstreams that its hash prefers.
-func (a *Assigner) settle(key hasher.Hash, h *home, r Request, all []*cataloger.Upstream, now timekeeper.Millis) *cataloger.Upstream {
+func (a *Assigner) settle(key hasher.Hash, h *home, r Request, all []*cataloger.Upstream, now timekeeper.Millis) Placement {
 	u := a.least(a.candidates(key, r, all))
 	if u == nil {
-		return nil
+		return Placement{}
 	}
 	if h != nil {
 		if v := a.least(h.known(nil, all, r.Allowed)); v != nil && !a.crowds(v, u, h) {
 			u = v
 		}
-		a.move(key, h, u)
-		return u
+		return a.moveFor(h.lost(all), key, h, u)
 	}
 	if len(a.homes) >= MaxKeys {
-		return u
+		return Placement{Upstream: u, Reason: Unkept}
 	}
 	a.homes[key] = &home{upstream: u.Hash(), version: 1, used: now}
 	a.changed++
 	a.announce(key, a.homes[key])
-	return u
+	return Placement{Upstream: u, Reason: NewKey}
 }
 
 // candidates are the upstreams that a key's hash prefers in the region that it
--- a/internal/request/assigner/assigner_test.go
+++ b/internal/request/assigner/assigner_test.go
@@ -83,7 +83,7 @@
 	i := 0
 	byHome := spreadOf(w.all, 450, func(k hasher.Hash) *cataloger.Upstream {
 		i++
-		return of[regions[i%len(regions)]].Home(k, toAnywhere, w.all)
+		return of[regions[i%len(regions)]].Home(k, toAnywhere, w.all).Upstream
 	})
 	t.Logf("most over mean: by hash %.2f, with homes %.2f", byHash, byHome)
 	is.True(byHash > 1.35)
@@ -97,7 +97,7 @@
 	local := func(region string) (n int) {
 		a := w.assigner(region)
 		for i := range 600 {
-			if a.Home(key(i), toAnywhere, w.all).Site.Region() == region {
+			if a.Home(key(i), toAnywhere, w.all).Upstream.Site.Region() == region {
 				n++
 			}
 		}
@@ -115,12 +115,12 @@
 	a := w.assigner("east")
 	first := map[int]*cataloger.Upstream{}
 	for i := range 50 {
-		first[i] = a.Home(key(i), toAnywhere, w.all)
+		first[i] = a.Home(key(i), toAnywhere, w.all).Upstream
 	}
 	for range 200 {
 		w.now += 20
 		for i := range 50 {
-			is.Equal(a.Home(key(i), toAnywhere, w.all), first[i])
+			is.Equal(a.Home(key(i), toAnywhere, w.all).Upstream, first[i])
 		}
 	}
 }
@@ -129,18 +129,18 @@
 	is := is.New(t)
 	w := newWorld(4)
 	a := w.assigner("east")
-	gone := a.Home(key(1), toAnywhere, w.all)
+	gone := a.Home(key(1), toAnywhere, w.all).Upstream
 	var rest []*cataloger.Upstream
 	for _, u := range w.all {
 		if u != gone {
 			rest = append(rest, u)
 		}
 	}
-	next := a.Home(key(1), toAnywhere, rest)
+	next := a.Home(key(1), toAnywhere, rest).Upstream
 	is.True(next != gone)
 	// It does not move back when the other returns: that would cost a second
 	// run without memory.
-	is.Equal(a.Home(key(1), toAnywhere, w.all), next)
+	is.Equal(a.Home(key(1), toAnywhere, w.all).Upstream, next)
 }
 
 // A hot upstream gives keys away, no more than a few in a second.
@@ -151,7 +151,7 @@
 	var hot *cataloger.Upstream
 	var kept []int
 	for i := range 200 {
-		u := a.Home(key(i), toAnywhere, w.all)
+		u := a.Home(key(i), toAnywhere, w.all).Upstream
 		if hot == nil {
 			hot = u
 		}
@@ -168,7 +168,7 @@
 			turn++
 		}
 		for _, i := range kept {
-			if a.Home(key(i), toAnywhere, w.all) != hot {
+			if a.Home(key(i), toAnywhere, w.all).Upstream != hot {
 				n++
 			}
 		}
@@ -190,7 +190,7 @@
 		if i%2 == 1 {
 			first, second = b, a
 		}
-		is.Equal(first.Home(key(i), toAnywhere, w.all), second.Home(key(i), toAnywhere, w.all))
+		is.Equal(first.Home(key(i), toAnywhere, w.all).Upstream, second.Home(key(i), toAnywhere, w.all).Upstream)
 	}
 	// Homes chosen at the same moment on both sides converge.
 	c, d := w.assigner("east"), w.assigner("east")
@@ -204,7 +204,7 @@
 	c.Learn(ofD)
 	d.Learn(ofC)
 	for i := range 50 {
-		is.Equal(c.Home(key(i), toAnywhere, w.all), d.Home(key(i), toAnywhere, w.all))
+		is.Equal(c.Home(key(i), toAnywhere, w.all).Upstream, d.Home(key(i), toAnywhere, w.all).Upstream)
 	}
 }
 
@@ -248,7 +248,7 @@
 	ask := func(all []*cataloger.Upstream) (anew int) {
 		for i := range 200 {
 			w.now += 5
-			u := a.Home(key(i), toAnywhere, all)
+			u := a.Home(key(i), toAnywhere, all).Upstream
 			if !ran[key(i)][u] {
 				anew++
 			}
@@ -276,7 +276,7 @@
 	is := is.New(t)
 	w := newWorld(8)
 	a := w.assigner("east")
-	h := a.Home(key(1), toAnywhere, w.all)
+	h := a.Home(key(1), toAnywhere, w.all).Upstream
 	var others []*cataloger.Upstream
 	for _, u := range w.all {
 		if u != h {
@@ -317,7 +317,7 @@
 			if at -= r.asked; at >= 0 {
 				continue
 			}
-			stays := a.Home(key(i), r.request, w.all).Site.Region() == "east"
+			stays := a.Home(key(i), r.request, w.all).Upstream.Site.Region() == "east"
 			if i < 1000 {
 				break // what routes there are is not known at first
 			}
--- a/internal/request/assigner/former.go
+++ b/internal/request/assigner/former.go
@@ -30,6 +30,11 @@
 	f[0] = upstream
 }
 
+// has tells whether an upstream is one of them.
+func (f *former) has(upstream hasher.Hash) bool {
+	return slices.Contains(f[:], upstream)
+}
+
 // Former appends to l the upstreams that ran a key lately beside its home.
 func (a *Assigner) Former(l []*cataloger.Upstream, key hasher.Hash, all []*cataloger.Upstream, allowed func(region string) bool) []*cataloger.Upstream {
 	a.lock.Lock()
@@ -40,6 +45,14 @@
 	return l
 }
 
+// Knows tells whether a key ran lately at an upstream beside its home.
+func (a *Assigner) Knows(key hasher.Hash, u *cataloger.Upstream) bool {
+	a.lock.Lock()
+	defer a.lock.Unlock()
+	h := a.homes[key]
+	return h != nil && h.former.has(u.Hash())
+}
+
 // Visit notes that a key runs at an upstream that is not its home.
 func (a *Assigner) Visit(key hasher.Hash, u *cataloger.Upstream) {
 	a.lock.Lock()
--- a/internal/request/assigner/load_test.go
+++ b/internal/request/assigner/load_test.go
@@ -143,14 +143,14 @@
 // homes keeps a key at its home, or moves it.
 func homes(a *assigner.Assigner) policy {
 	return func(k hasher.Hash, all []*cataloger.Upstream, states func([]*cataloger.Upstream) []placer.State) *cataloger.Upstream {
-		list := []*cataloger.Upstream{a.Home(k, toAnywhere, all)}
+		list := []*cataloger.Upstream{a.Home(k, toAnywhere, all).Upstream}
 		for _, u := range placer.List(nil, k, all, anywhere) {
 			if u != list[0] {
 				list = append(list, u)
 			}
 		}
 		i, _, move := placer.ChooseHomed(states(list), true)
-		if i < 0 || move && !a.Move(k, list[i]) {
+		if i < 0 || move && a.Move(k, list[i]).Upstream == nil {
 			return nil
 		}
 		return list[i]
--- a/internal/request/assigner/shed_test.go
+++ b/internal/request/assigner/shed_test.go
@@ -38,7 +38,7 @@
 
 // choose picks the upstream of one sending.
 func (s *shedWorld) choose(k hasher.Hash, refused *cataloger.Upstream) *cataloger.Upstream {
-	list := []*cataloger.Upstream{s.homes.Home(k, toAnywhere, s.all)}
+	list := []*cataloger.Upstream{s.homes.Home(k, toAnywhere, s.all).Upstream}
 	for _, u := range placer.List(nil, k, s.all, anywhere) {
 		if u != list[0] {
 			list = append(list, u)
@@ -56,7 +56,7 @@
 		states = append(states, x)
 	}
 	i, _, move := placer.ChooseHomed(states, true)
-	if i < 0 || move && !s.homes.Move(k, list[i]) {
+	if i < 0 || move && s.homes.Move(k, list[i]).Upstream == nil {
 		return nil
 	}
 	return list[i]
--- a/internal/request/dispatcher/answer.go
+++ b/internal/request/dispatcher/answer.go
@@ -218,4 +218,5 @@
 		l.Kind = e.Reason
 		d.Meter.Count("request_reasons", l)
 	}
+	d.measurePlacement(e)
 }
--- a/internal/request/dispatcher/choose.go
+++ b/internal/request/dispatcher/choose.go
@@ -14,6 +14,7 @@
 
 // choose picks the upstream of the next sending.
 func (x *exchange) choose() (*cataloger.Upstream, placer.Verdict) {
+	x.decision.Placement = assigner.Placement{}
 	if !x.resolve() {
 		return nil, placer.Gone
 	}
@@ -23,7 +24,7 @@
 	var space [maxCandidates]*cataloger.Upstream
 	list := space[:0]
 	if x.homed() {
-		home := x.d.Homes.Home(x.key, x.placed(), all)
+		home := x.home(all)
 		if home == nil {
 			return nil, placer.Gone
 		}
@@ -32,6 +33,7 @@
 		// proportion to the upstreams of the service.
 		if state := x.state(home); placer.Judge(state, x.urgent()) == placer.Fit && x.warm(home) {
 			x.take(home, state)
+			x.place(home)
 			return home, placer.Fit
 		}
 		list = x.d.Homes.Former(list, x.key, all, x.route.Allows)
@@ -46,6 +48,7 @@
 		switch {
 		case i >= 0 && x.warm(list[i]):
 			x.take(list[i], states[i])
+			x.place(list[i])
 			if x.homed() {
 				x.d.Homes.Visit(x.key, list[i])
 			}
@@ -62,8 +65,18 @@
 	}
 }
 
-// placed is what decides where the request's key may live.
-func (x *exchange) placed() assigner.Request {
+// home returns the home of the request's key, and keeps the reason why it is that one: what
+// is done for a request holds for all its sendings.
+func (x *exchange) home(all []*cataloger.Upstream) *cataloger.Upstream {
+	p := x.d.Homes.Home(x.key, x.asked(), all)
+	if p.Reason != assigner.AtHome || p.Upstream != x.homePlacement.Upstream {
+		x.homePlacement = p
+	}
+	return p.Upstream
+}
+
+// asked is what decides where the request's key may live.
+func (x *exchange) asked() assigner.Request {
 	return assigner.Request{Service: x.part, Route: x.route.Name, Objective: x.route.Objective, Allowed: x.route.Allows}
 }
 
@@ -87,9 +100,14 @@
 		return placer.Choose(states, x.urgent())
 	}
 	i, verdict, move := placer.ChooseHomed(states, x.urgent())
-	if move && !x.d.Homes.Move(x.key, list[i]) {
+	if !move {
+		return i, verdict
+	}
+	p := x.d.Homes.Move(x.key, list[i])
+	if p.Upstream == nil {
 		return -1, verdict
 	}
+	x.homePlacement = p
 	return i, verdict
 }
 
--- a/internal/request/dispatcher/dispatcher.go
+++ b/internal/request/dispatcher/dispatcher.go
@@ -91,12 +91,15 @@
 		// took the request, and Site is where it is.
 		Upstream cataloger.UpstreamID
 		Site     registrar.Site
-		Key      string
-		Tries    int
-		Outcome  string
-		Reason   string
-		Status   int
-		Took     timekeeper.Millis
+		// Placement is why Upstream was the choice of the last sending, the zero value if
+		// none took the request after that.
+		Placement assigner.Placement
+		Key       string
+		Tries     int
+		Outcome   string
+		Reason    string
+		Status    int
+		Took      timekeeper.Millis
 		// Objective is within which time the answer is worth its full price.
 		Objective timekeeper.Millis
 		// Waited is the part of Took that the request waited for others of its
--- a/internal/request/dispatcher/exchange.go
+++ b/internal/request/dispatcher/exchange.go
@@ -6,6 +6,7 @@
 	"strconv"
 	"strings"
 
+	"github.com/gullvale/gullvale/internal/request/assigner"
 	"github.com/gullvale/gullvale/internal/request/exchanger"
 	"github.com/gullvale/gullvale/internal/version/cataloger"
 	"github.com/gullvale/gullvale/internal/version/matcher"
@@ -94,6 +95,8 @@
 	refusedBy cataloger.Incarnation
 	// unknown tells that the request may have run.
 	unknown bool
+	// homePlacement is the home of the request's key, and why it is that one.
+	homePlacement assigner.Placement
 
 	decision Decision
 }
--- /dev/null
+++ b/internal/request/dispatcher/placement_test.go
@@ -0,0 +1,73 @@
+package dispatcher_test
+
+import (
+	"net/http"
+	"net/http/httptest"
+	"strings"
+	"testing"
+
+	"github.com/matryer/is"
+
+	"github.com/gullvale/gullvale/internal/request/assigner"
+	"github.com/gullvale/gullvale/internal/request/dispatcher"
+	"github.com/gullvale/gullvale/internal/version/cataloger"
+	"github.com/gullvale/gullvale/internal/version/matcher"
+)
+
+// TestPlacement has each request say why its upstream was the choice.
+func TestPlacement(t *testing.T) {
+	is := is.New(t)
+	s := newSite(t, matcher.Idempotent)
+	s.Homes = &assigner.Assigner{Region: "east", Regions: []string{"east"}}
+	var told dispatcher.Decision
+	s.Decided = func(d *dispatcher.Decision) { told = *d }
+	placed := func(key string) string {
+		_, _ = s.ask(http.MethodGet, "id", func(r *http.Request) { r.Header.Set(fields.Key, key) })
+		return told.Placement.Kind()
+	}
+	for _, id := range []string{"u1", "u2", "u3"} {
+		s.add(t, id, good)
+	}
+	is.Equal(placed(""), "no key")
+	is.Equal(placed("keg"), "new key")
+	first := told.Upstream
+	is.Equal(placed("keg"), "home")
+	is.Equal(told.Upstream, first)
+
+	s.catalog.Remove(first)
+	is.Equal(placed("keg"), "home gone")
+	is.Equal(told.Placement.Left.ID, first)
+	second := told.Upstream
+	is.Equal(placed("keg"), "home")
+	is.Equal(told.Placement.Left, nil)
+
+	s.add(t, string(first), good)
+	s.catalog.Remove(second)
+	is.Equal(placed("keg"), "home gone, former home")
+	is.Equal(told.Upstream, first)
+	is.Equal(told.Placement.Left.ID, second)
+
+	s.Meter.Close() // reports what was counted
+	text := httptest.NewRecorder()
+	s.Meter.Handler().ServeHTTP(text, httptest.NewRequest(http.MethodGet, "/metrics", nil))
+	is.True(strings.Contains(text.Body.String(), `gullvale_placements{class="idempotent",kind="home",service="s"} 2`))
+	is.True(strings.Contains(text.Body.String(), `gullvale_placements{class="idempotent",kind="home gone, former home",service="s"} 1`))
+}
+
+// TestPlacementOfRepeats has the key's home break a request off, and then be down.
+func TestPlacementOfRepeats(t *testing.T) {
+	is := is.New(t)
+	s := newSite(t, matcher.Idempotent)
+	s.Homes = &assigner.Assigner{Region: "east", Regions: []string{"east"}}
+	var told dispatcher.Decision
+	s.Decided = func(d *dispatcher.Decision) { told = *d }
+	s.add(t, "u1", breaks)
+	_, _ = s.ask(http.MethodGet, "first", nil)
+	is.Equal(told.Placement.Reason, assigner.NotPlaced) // broken off, and no other upstream
+	s.add(t, "u2", good)
+	_, _ = s.ask(http.MethodGet, "second", nil)
+	is.Equal(told.Outcome, "answered")
+	is.Equal(told.Upstream, cataloger.UpstreamID("u2"))
+	is.Equal(told.Tries, 2)
+	is.Equal(told.Placement.Reason, assigner.Repeated)
+}
