sender, heartbeater, platform: bytes are counted by purpose and distance

The line of a request has `distance` and `bytes`. Beater.Receive is told the sender's address for that, and its tests pass one.

Ruled out: Content-Length and copied bytes, which leave out heads and sendings that fail; a counter looked up for each sending, where one for each upstream does.

--- a/internal/connection/sender/conn.go
+++ b/internal/connection/sender/conn.go
@@ -2,10 +2,12 @@
 
 import (
 	"bufio"
+	"io"
 	"net"
 	"net/http"
 	"strconv"
 	"strings"
+	"sync/atomic"
 	"syscall"
 	"time"
 
@@ -34,14 +36,43 @@
 	idleSince timekeeper.Millis
 	keep      timekeeper.Millis
 	reused    bool
+	// count is told of all bytes that are sent and received, and bytes are their sum.
+	count Counter
+	bytes atomic.Int64
 }
 
-func newConn(c net.Conn) *conn {
-	return &conn{
-		Conn:   c,
-		reader: bufio.NewReaderSize(c, readBuffer),
-		writer: bufio.NewWriterSize(c, writeBuffer),
-		keep:   defaultIdle,
+func newConn(c net.Conn, count Counter) *conn {
+	k := &conn{Conn: c, keep: defaultIdle, count: count}
+	k.reader = bufio.NewReaderSize(k, readBuffer)
+	k.writer = bufio.NewWriterSize(k, writeBuffer)
+	return k
+}
+
+// Read counts what it reads.
+func (c *conn) Read(b []byte) (int, error) {
+	n, err := c.Conn.Read(b)
+	c.counted(0, int64(n))
+	return n, err
+}
+
+// Write counts what it writes.
+func (c *conn) Write(b []byte) (int, error) {
+	n, err := c.Conn.Write(b)
+	c.counted(int64(n), 0)
+	return n, err
+}
+
+// ReadFrom lets bodies that arrive while they are sent pass the small buffer by.
+func (c *conn) ReadFrom(r io.Reader) (int64, error) {
+	n, err := io.Copy(c.Conn, r)
+	c.counted(n, 0)
+	return n, err
+}
+
+func (c *conn) counted(sent, received int64) {
+	c.bytes.Add(sent + received)
+	if c.count != nil {
+		c.count(sent, received)
 	}
 }
 
--- a/internal/connection/sender/pool.go
+++ b/internal/connection/sender/pool.go
@@ -10,6 +10,10 @@
 )
 
 type (
+	// Counter is told of bytes that were sent to an upstream and received from it, those
+	// of heads included.
+	Counter func(sent, received int64)
+
 	// Pool holds the connections to one upstream. Address and Dial must be set
 	// before use.
 	Pool struct {
@@ -17,6 +21,9 @@
 		// Dial opens a connection within the time that the context allows.
 		Dial  func(ctx context.Context, address string) (net.Conn, error)
 		Clock timekeeper.Clock
+		// Count is told of the bytes of all connections. Nil means that nobody wants to
+		// know.
+		Count Counter
 
 		lock   sync.Mutex
 		idle   []*conn
@@ -82,7 +89,7 @@
 	if err != nil {
 		return nil, err
 	}
-	return newConn(c), nil
+	return newConn(c, p.Count), nil
 }
 
 // pop takes the connection that was used last, so that the others grow old and
--- a/internal/connection/sender/send.go
+++ b/internal/connection/sender/send.go
@@ -83,11 +83,13 @@
 
 		pool *Pool
 		conn *conn
-		body io.ReadCloser
-		ends bool
-		done bool
-		stop func() bool
-		sent chan error
+		// before is what the connection had carried before this exchange.
+		before int64
+		body   io.ReadCloser
+		ends   bool
+		done   bool
+		stop   func() bool
+		sent   chan error
 	}
 )
 
@@ -102,7 +104,7 @@
 		return nil, ErrWithdrawn
 	}
 	_ = c.SetDeadline(q.Until)
-	a := &Answer{pool: p, conn: c, Reused: c.reused}
+	a := &Answer{pool: p, conn: c, before: c.bytes.Load(), Reused: c.reused}
 	a.stop = context.AfterFunc(ctx, c.abort)
 	if err := a.exchange(q); err != nil {
 		a.Close()
@@ -245,6 +247,11 @@
 	return a.done
 }
 
+// Bytes returns how many bytes were sent and received for this exchange so far.
+func (a *Answer) Bytes() int64 {
+	return a.conn.bytes.Load() - a.before
+}
+
 // Close gives the connection back if the exchange is complete on both sides, and
 // closes it else, which makes the upstream drop the request.
 func (a *Answer) Close() {
--- a/internal/connection/sender/send_test.go
+++ b/internal/connection/sender/send_test.go
@@ -8,7 +8,9 @@
 	"io"
 	"net"
 	"net/http"
+	"net/http/httptest"
 	"strings"
+	"sync/atomic"
 	"syscall"
 	"testing"
 	"time"
@@ -16,6 +18,7 @@
 	"github.com/matryer/is"
 
 	"github.com/gullvale/gullvale/internal/connection/sender"
+	"github.com/gullvale/gullvale/internal/process/measurer"
 )
 
 const echoField = "X-Id"
@@ -325,3 +328,68 @@
 		})
 	}
 }
+
+// TestBytesAreCounted counts two exchanges over one connection, of which the second has a
+// body that arrives while it is sent.
+func TestBytesAreCounted(t *testing.T) {
+	is := is.New(t)
+	const body = "a body that is sent while it arrives"
+	s := newScript(t, func(c conn, next func() string) {
+		next()
+		_, _ = io.WriteString(c, answer("1", "one"))
+		next()
+		_, _ = io.CopyN(io.Discard, c, int64(len(body)))
+		_, _ = io.WriteString(c, answer("2", "two and more"))
+	})
+	var sent, received atomic.Int64
+	s.pool.Count = func(out, in int64) {
+		sent.Add(out)
+		received.Add(in)
+	}
+	exchange := func(q *sender.Request) (carried int64) {
+		a, err := s.pool.Do(context.Background(), q)
+		is.NoErr(err)
+		defer a.Close()
+		_, err = io.ReadAll(a)
+		is.NoErr(err)
+		return a.Bytes()
+	}
+	first := exchange(request("1"))
+	is.Equal(sent.Load(), int64(len(<-s.heads)))
+	is.Equal(received.Load(), int64(len(answer("1", "one"))))
+	is.Equal(first, sent.Load()+received.Load())
+
+	q := request("2")
+	q.Method, q.Stream, q.Length = http.MethodPost, strings.NewReader(body), int64(len(body))
+	second := exchange(q)
+	is.Equal(first+second, sent.Load()+received.Load())
+	is.Equal(second, int64(len(<-s.heads)+len(body)+len(answer("2", "two and more"))))
+	is.Equal(s.pool.Dials(), uint64(1))
+}
+
+// One exchange over a kept connection, with its bytes counted.
+func BenchmarkExchange(b *testing.B) {
+	is := is.New(b)
+	upstream := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		w.Header().Set(echoField, r.Header.Get(echoField))
+		_, _ = io.WriteString(w, "one")
+	}))
+	defer upstream.Close()
+	m := measurer.New()
+	defer m.Close()
+	send, receive := m.Adder("sent", measurer.Labels{}), m.Adder("received", measurer.Labels{})
+	s := &script{pool: &sender.Pool{
+		Address: upstream.Listener.Addr().String(),
+		Dial: func(ctx context.Context, a string) (net.Conn, error) {
+			return new(net.Dialer).DialContext(ctx, "tcp", a)
+		},
+		Count: func(out, in int64) {
+			send(out)
+			receive(in)
+		},
+	}}
+	for b.Loop() {
+		_, err := s.get(request("1"))
+		is.NoErr(err)
+	}
+}
--- a/internal/connection/tracker/set.go
+++ b/internal/connection/tracker/set.go
@@ -15,6 +15,9 @@
 type Set struct {
 	Dial  func(ctx context.Context, address string) (net.Conn, error)
 	Clock timekeeper.Clock
+	// Counter returns what is told of the bytes to and from an upstream. Nil means that
+	// nobody wants to know.
+	Counter func(u *cataloger.Upstream) sender.Counter
 
 	upstreams sync.Map
 }
@@ -27,11 +30,18 @@
 	}
 	v, _ := s.upstreams.LoadOrStore(i, &Upstream{
 		clock: s.Clock,
-		Pool:  &sender.Pool{Address: u.Address, Dial: s.Dial, Clock: s.Clock},
+		Pool:  &sender.Pool{Address: u.Address, Dial: s.Dial, Clock: s.Clock, Count: s.counter(u)},
 	})
 	return v.(*Upstream)
 }
 
+func (s *Set) counter(u *cataloger.Upstream) sender.Counter {
+	if s.Counter == nil {
+		return nil
+	}
+	return s.Counter(u)
+}
+
 // Sweep closes connections that have been idle for too long, and forgets the
 // upstreams that keep does not know any more.
 func (s *Set) Sweep(keep func(cataloger.Incarnation) bool) {
--- a/internal/process/fronter/fronter.go
+++ b/internal/process/fronter/fronter.go
@@ -19,6 +19,7 @@
 	"github.com/gullvale/gullvale/internal/request/dispatcher"
 	"github.com/gullvale/gullvale/internal/version/cataloger"
 	"github.com/gullvale/gullvale/internal/version/matcher"
+	"github.com/gullvale/gullvale/pkg/registrar"
 	"github.com/gullvale/gullvale/pkg/timekeeper"
 )
 
@@ -84,7 +85,9 @@
 		StopWithin timekeeper.Millis
 
 		// Self is the name of this member, Members returns the living ones.
-		Self    string
+		Self string
+		// Site is where this member is.
+		Site    registrar.Site
 		Members func() []heartbeater.Member
 		// Behind returns for how long a change has been known of, maybe one of the
 		// configuration, that has not been read. Nil means never.
@@ -127,7 +130,7 @@
 func New(o Options) *Fronter {
 	f := &Fronter{options: o, Meter: measurer.New(), lines: rate.NewLimiter(linesPerSecond, linesAtOnce)}
 	f.start.began, f.start.done = f.clock.Now(), make(chan struct{})
-	f.upstreams = &tracker.Set{Dial: dial}
+	f.upstreams = &tracker.Set{Dial: dial, Counter: f.counter}
 	f.dispatcher = &dispatcher.Dispatcher{
 		Config:    f.Config,
 		Behind:    o.Behind,
@@ -368,7 +371,10 @@
 		"config": e.Config, "behind": int64(e.Behind), "catalog": e.Catalog, "upstream": e.Upstream, "site": e.Site, "key": e.Key,
 		"tries": e.Tries, "outcome": e.Outcome, "reason": e.Reason, "status": e.Status,
 		"ms": int64(e.Took), "objective": int64(e.Objective), "waited": int64(e.Waited), "sentAfter": int64(e.SentAfter), "load": e.Load, "own": e.Own,
-		"placed": e.Placement.Kind(),
+		"placed": e.Placement.Kind(), "bytes": e.Bytes,
+	}
+	if e.Site != "" {
+		fields["distance"] = f.options.Site.Distance(e.Site)
 	}
 	if left := e.Placement.Left; left != nil {
 		fields["left"], fields["leftSite"] = left.ID, left.Site
--- a/internal/process/heartbeater/beater.go
+++ b/internal/process/heartbeater/beater.go
@@ -105,12 +105,16 @@
 		Missed func(kind string, from uint64) []Changes
 		// Homed is told of the homes of keys that another member announced.
 		Homed func([]assigner.Assignment)
-		Clock timekeeper.Clock
+		// Counted is told of the bytes of datagrams. Nil means that nobody wants to know.
+		Counted func(Traffic)
+		Clock   timekeeper.Clock
 
 		lock    sync.Mutex
 		members map[string]*known
-		self    Member
-		round   int
+		// sites are where the members are, by the addresses at which they take datagrams.
+		sites map[string]registrar.Site
+		self  Member
+		round int
 	}
 
 	known struct {
@@ -199,11 +203,13 @@
 	b.send(toFar, &Datagram{Beat: far})
 }
 
-// Receive takes a datagram. One that is not understood is dropped: it may come
-// from another version.
-func (b *Beater) Receive(datagram []byte) bool {
+// Receive takes a datagram from an address. One that is not understood is dropped: it may
+// come from another version.
+func (b *Beater) Receive(from string, datagram []byte) bool {
 	var d Datagram
-	if proto.Unmarshal(datagram, &d) != nil {
+	understood := proto.Unmarshal(datagram, &d) == nil
+	defer b.count(from, Traffic{Purpose: d.purpose(), Received: int64(len(datagram))})
+	if !understood {
 		return false
 	}
 	if d.Beat != nil && d.Beat.From != nil {
--- a/internal/process/heartbeater/beater_test.go
+++ b/internal/process/heartbeater/beater_test.go
@@ -50,7 +50,7 @@
 			if m.dead || r == nil || r.dead || n.random.Float64() < n.loss {
 				return
 			}
-			r.Receive(d)
+			r.Receive(m.self.Beats, d)
 		},
 	}
 	n.members[name] = m
@@ -209,8 +209,8 @@
 	is := is.New(t)
 	n := newNetwork()
 	m := n.add("m00", "east/a")
-	is.True(!m.Receive([]byte("\xff\xff\xff")))
-	is.True(m.Receive(nil))
+	is.True(!m.Receive("m01", []byte("\xff\xff\xff")))
+	is.True(m.Receive("m01", nil))
 	is.Equal(len(m.Alive()), 1)
 }
 
@@ -218,5 +218,5 @@
 	n := newNetwork()
 	m := n.add("m00", "east/a")
 	f.Add([]byte("\x0a\x05\x0a\x03\x0a\x01a"))
-	f.Fuzz(func(_ *testing.T, d []byte) { m.Receive(d) })
+	f.Fuzz(func(_ *testing.T, d []byte) { m.Receive("m01", d) })
 }
--- a/internal/process/heartbeater/member.go
+++ b/internal/process/heartbeater/member.go
@@ -2,6 +2,7 @@
 
 import (
 	"github.com/gullvale/gullvale/pkg/hasher"
+	"github.com/gullvale/gullvale/pkg/registrar"
 	"github.com/gullvale/gullvale/pkg/timekeeper"
 )
 
@@ -65,7 +66,9 @@
 		return b.put(memberOf(r), heard)
 	}
 	if heard >= k.heard {
+		delete(b.sites, k.Beats)
 		k.Member, k.heard = memberOf(r), heard
+		b.sites[k.Beats] = k.Site
 	}
 	return k
 }
@@ -73,9 +76,11 @@
 func (b *Beater) put(m Member, heard timekeeper.Millis) *known {
 	if b.members == nil {
 		b.members = map[string]*known{}
+		b.sites = map[string]registrar.Site{}
 	}
 	k := &known{Member: m, order: hasher.OfString(m.Name), heard: heard}
 	b.members[m.Name] = k
+	b.sites[m.Beats] = m.Site
 	return k
 }
 
@@ -84,6 +89,7 @@
 	for n, k := range b.members {
 		if now-max(k.heard, k.vouched) > forgetAfter {
 			delete(b.members, n)
+			delete(b.sites, k.Beats)
 		}
 	}
 }
--- /dev/null
+++ b/internal/process/heartbeater/traffic.go
@@ -0,0 +1,58 @@
+package heartbeater
+
+import (
+	"github.com/gullvale/gullvale/pkg/registrar"
+)
+
+// The purposes of datagrams.
+const (
+	BeatPurpose    Purpose = "beat"
+	RelayPurpose   Purpose = "relay"
+	HomesPurpose   Purpose = "homes"
+	AskPurpose     Purpose = "ask"
+	UnknownPurpose Purpose = "unknown datagram"
+)
+
+type (
+	// Purpose is what a datagram is for.
+	Purpose string
+
+	// Traffic is bytes between this member and another one.
+	Traffic struct {
+		Purpose  Purpose
+		Distance registrar.Distance
+		Sent     int64
+		Received int64
+	}
+)
+
+// purpose returns what the datagram is for.
+func (d *Datagram) purpose() Purpose {
+	switch {
+	case d.Beat != nil:
+		return BeatPurpose
+	case d.Relay != nil:
+		return RelayPurpose
+	case d.Homes != nil:
+		return HomesPurpose
+	case d.Ask != nil:
+		return AskPurpose
+	}
+	return UnknownPurpose
+}
+
+// count tells of bytes to or from an address.
+func (b *Beater) count(address string, t Traffic) {
+	if b.Counted == nil {
+		return
+	}
+	t.Distance = b.distance(address)
+	b.Counted(t)
+}
+
+// distance is that to the member who takes datagrams at an address.
+func (b *Beater) distance(address string) registrar.Distance {
+	b.lock.Lock()
+	defer b.lock.Unlock()
+	return b.self.Site.Distance(b.sites[address])
+}
--- a/internal/process/heartbeater/wire.go
+++ b/internal/process/heartbeater/wire.go
@@ -53,6 +53,7 @@
 	slices.Sort(to)
 	for _, a := range slices.Compact(to) {
 		b.Send(a, body)
+		b.count(a, Traffic{Purpose: d.purpose(), Sent: int64(len(body))})
 	}
 }
 
--- a/internal/process/measurer/meter.go
+++ b/internal/process/measurer/meter.go
@@ -98,6 +98,12 @@
 	m.counter(name, l).Inc(n)
 }
 
+// Adder returns what adds to a counter, for those who count often: looking the counter up
+// takes longer than adding to it.
+func (m *Meter) Adder(name string, l Labels) func(n int64) {
+	return m.counter(name, l).Inc
+}
+
 // Observe adds a length of time to the histogram of a service and class.
 func (m *Meter) Observe(name string, l Labels, d time.Duration) {
 	k := metricKey{name, l}
--- a/internal/request/dispatcher/dispatcher.go
+++ b/internal/request/dispatcher/dispatcher.go
@@ -107,6 +107,9 @@
 		// it was not.
 		Waited    timekeeper.Millis
 		SentAfter timekeeper.Millis
+		// Bytes are what was sent to upstreams and received from them in all sendings
+		// that an answer came to.
+		Bytes int64
 		// Load and Own are what was known of Upstream.
 		Load float64
 		Own  int
--- a/internal/request/dispatcher/placement_test.go
+++ b/internal/request/dispatcher/placement_test.go
@@ -33,6 +33,7 @@
 	first := told.Upstream
 	is.Equal(placed("keg"), "home")
 	is.Equal(told.Upstream, first)
+	is.True(told.Bytes > int64(len("body")+len("good"))) // and two heads
 
 	s.catalog.Remove(first)
 	is.Equal(placed("keg"), "home gone")
--- a/internal/request/dispatcher/send.go
+++ b/internal/request/dispatcher/send.go
@@ -49,6 +49,7 @@
 		return x.lost(t, err)
 	}
 	defer a.Close()
+	defer func() { x.decision.Bytes += a.Bytes() }()
 	x.note(t, a)
 	return x.answer(t, a)
 }
