--- a/internal/request/dispatcher/answer.go
+++ b/internal/request/dispatcher/answer.go
@@ -9,7 +9,6 @@
 	"github.com/gullvale/gullvale/internal/connection/framer"
 	"github.com/gullvale/gullvale/internal/connection/sender"
 	"github.com/gullvale/gullvale/internal/connection/tracker"
-	"github.com/gullvale/gullvale/internal/process/measurer"
 	"github.com/gullvale/gullvale/internal/request/exchanger"
 	"github.com/gullvale/gullvale/internal/request/forwarder"
 	"github.com/gullvale/gullvale/pkg/timekeeper"
@@ -202,21 +201,3 @@
 func seconds(m timekeeper.Millis) string {
 	return strconv.FormatFloat(float64(m)/float64(timekeeper.Second), 'f', -1, 64)
 }
-
-func (x *exchange) labels(kind string) measurer.Labels {
-	return measurer.Labels{Service: x.decision.Service, Class: x.decision.Class, Kind: kind}
-}
-
-// measure counts how a request ended.
-func (d *Dispatcher) measure(e *Decision) {
-	l := measurer.Labels{Service: e.Service, Class: e.Class, Kind: e.Outcome}
-	d.Meter.Observe("request_seconds", l, e.Took.Duration())
-	if e.SentAfter >= 0 {
-		d.Meter.Observe("first_send_seconds", l, e.SentAfter.Duration())
-	}
-	if e.Reason != "" {
-		l.Kind = e.Reason
-		d.Meter.Count("request_reasons", l)
-	}
-	d.measurePlacement(e)
-}
--- a/internal/request/dispatcher/exchange.go
+++ b/internal/request/dispatcher/exchange.go
@@ -57,6 +57,9 @@
 	// not know the configuration yet.
 	unknownRetryAfter = 500 * timekeeper.Millis(1)
 
+	// noRoute is the reason of a refusal for want of a route.
+	noRoute = "no route"
+
 	// steadyStop is how much longer a stopping entry must live than a new
 	// request may take.
 	steadyStop = 300 * timekeeper.Millis(1)
@@ -151,7 +154,7 @@
 	x.config, x.route = c, c.Match(x.r.Host, pathOf(x.r))
 	x.decision.Config = c.Version
 	if x.route == nil {
-		x.refuse(http.StatusNotFound, "no route", 0)
+		x.refuse(http.StatusNotFound, noRoute, 0)
 		return false
 	}
 	x.setKey()
--- a/internal/request/dispatcher/placement.go
+++ b/internal/request/dispatcher/placement.go
@@ -1,7 +1,6 @@
 package dispatcher
 
 import (
-	"github.com/gullvale/gullvale/internal/process/measurer"
 	"github.com/gullvale/gullvale/internal/request/assigner"
 	"github.com/gullvale/gullvale/internal/version/cataloger"
 )
@@ -29,11 +28,3 @@
 	}
 	return p
 }
-
-// measurePlacement counts why a request's upstream was the choice.
-func (d *Dispatcher) measurePlacement(e *Decision) {
-	if e.Placement.Reason == assigner.NotPlaced {
-		return
-	}
-	d.Meter.Count("placements", measurer.Labels{Service: e.Service, Class: e.Class, Kind: e.Placement.Kind()})
-}
--- a/internal/request/dispatcher/placement_test.go
+++ b/internal/request/dispatcher/placement_test.go
@@ -2,7 +2,6 @@
 
 import (
 	"net/http"
-	"net/http/httptest"
 	"strings"
 	"testing"
 
@@ -48,11 +47,9 @@
 	is.Equal(told.Upstream, first)
 	is.Equal(told.Placement.Left.ID, second)
 
-	s.Meter.Close() // reports what was counted
-	text := httptest.NewRecorder()
-	s.Meter.Handler().ServeHTTP(text, httptest.NewRequest(http.MethodGet, "/metrics", nil))
-	is.True(strings.Contains(text.Body.String(), `gullvale_placements{class="idempotent",kind="home",service="s"} 2`))
-	is.True(strings.Contains(text.Body.String(), `gullvale_placements{class="idempotent",kind="home gone, former home",service="s"} 1`))
+	text := s.metrics()
+	is.True(strings.Contains(text, `gullvale_placements{class="idempotent",kind="home",service="s"} 2`))
+	is.True(strings.Contains(text, `gullvale_placements{class="idempotent",kind="home gone, former home",service="s"} 1`))
 }
 
 // TestPlacementOfRepeats has the key's home break a request off, and then be down.
@@ -72,3 +69,39 @@
 	is.Equal(told.Tries, 2)
 	is.Equal(told.Placement.Reason, assigner.Repeated)
 }
+
+// TestPlacementBesideTheHome has the key's home turn cold. Its requests run elsewhere, the
+// second one where the first ran.
+func TestPlacementBesideTheHome(t *testing.T) {
+	is := is.New(t)
+	s := newSite(t, matcher.Idempotent)
+	s.Homes = &assigner.Assigner{Region: "east", Regions: []string{"east"}}
+	var told dispatcher.Decision
+	s.Decided = func(d *dispatcher.Decision) { told = *d }
+	s.add(t, "u1", good)
+	_, _ = s.ask(http.MethodGet, "id", nil)
+	is.Equal(told.Placement.Kind(), "new key")
+	home, _ := s.catalog.Known("u1")
+	home.ColdUntil = s.Clock.Now() + 60_000
+	s.catalog.Put(home)
+	s.add(t, "u2", good)
+	for _, want := range []string{"home passed over", "home passed over, former home"} {
+		_, _ = s.ask(http.MethodGet, "id", nil)
+		is.Equal(told.Placement.Kind(), want)
+		is.Equal(told.Upstream, cataloger.UpstreamID("u2"))
+		is.Equal(told.Placement.Left, nil)
+	}
+}
+
+// TestPlacementOfRepeatsAtHome has the key's home refuse a request once though it has room.
+func TestPlacementOfRepeatsAtHome(t *testing.T) {
+	is := is.New(t)
+	s := newSite(t, matcher.Once)
+	s.Homes = &assigner.Assigner{Region: "east", Regions: []string{"east"}}
+	var told dispatcher.Decision
+	s.Decided = func(d *dispatcher.Decision) { told = *d }
+	s.add(t, "u1", firstOf(sheds, good))
+	_, _ = s.ask(http.MethodPost, "id", nil)
+	is.Equal(told.Tries, 2)
+	is.Equal(told.Placement.Kind(), "repeat there")
+}
