--- a/internal/request/dispatcher/dispatcher.go
+++ b/internal/request/dispatcher/dispatcher.go
@@ -91,12 +91,15 @@
 		// took the request, and Site is where it is.
 		Upstream cataloger.UpstreamID
 		Site     registrar.Site
-		Key      string
-		Tries    int
-		Outcome  string
-		Reason   string
-		Status   int
-		Took     timekeeper.Millis
+		// Placement is why Upstream was the choice of the last sending, the zero value if
+		// none took the request after that.
+		Placement assigner.Placement
+		Key       string
+		Tries     int
+		Outcome   string
+		Reason    string
+		Status    int
+		Took      timekeeper.Millis
 		// Objective is within which time the answer is worth its full price.
 		Objective timekeeper.Millis
 		// Waited is the part of Took that the request waited for others of its
@@ -104,6 +107,9 @@
 		// it was not.
 		Waited    timekeeper.Millis
 		SentAfter timekeeper.Millis
+		// Bytes are what was sent to upstreams and received from them in all sendings
+		// that an answer came to.
+		Bytes int64
 		// Load and Own are what was known of Upstream.
 		Load float64
 		Own  int
