switcher: mechanisms that decide can be switched off for experiments

Cause: what each mechanism is worth was measured on edited copies of the code, which nobody else can repeat, and which grow stale with each change.

The zero value of its set is all on; the placer, the assigner, the dispatcher, the front and the platform's adapter ask it where each mechanism acts. A line and a metric tell what is off. Judge, Choose and ChooseHomed are methods of placer.Placer now, whose zero value is what the functions were; their tests call them on that and are otherwise as they were.

Ruled out: switches for the parts of the retry budget and of a cold upstream's rate, which guard promises, and switches that change while a process runs. With no back-off a request would dial a dead upstream until its time is over; it passes over what it could not reach instead.

--- a/cmd/gullvaled/main.go
+++ b/cmd/gullvaled/main.go
@@ -15,6 +15,7 @@
 	"github.com/gullvale/gullvale/internal/process/follower"
 	"github.com/gullvale/gullvale/internal/process/logger"
 	"github.com/gullvale/gullvale/internal/process/runner"
+	"github.com/gullvale/gullvale/internal/process/switcher"
 	"github.com/gullvale/gullvale/pkg/timekeeper"
 	"github.com/gullvale/gullvale/platform"
 )
@@ -23,6 +24,9 @@
 // requests, shorter than what supervisors wait before they kill.
 const defaultStop = 6 * timekeeper.Second
 
+// withoutUsage explains the flag that switches mechanisms off.
+const withoutUsage = "mechanisms to switch off, for experiments, with commas between them"
+
 // The exit codes.
 const (
 	exitDone     = 0
@@ -80,6 +84,7 @@
 	f.StringVar(&o.Callers, "callers", "127.0.0.1:7100", "address for callers")
 	f.StringVar(&o.Checks, "checks", "", "address that answers /ready, none if empty")
 	f.StringVar(&o.Metrics, "metrics", "", "address that serves /metrics, none if empty")
+	f.Var(&o.Without, "without", withoutUsage)
 	f.Int64Var((*int64)(&o.StopWithin), "stop-millis", int64(defaultStop), "time from SIGTERM to the end")
 	f.BoolVar(&check, "check", false, "check the table and exit")
 	_ = c.MarkFlagRequired("table")
@@ -107,23 +112,28 @@
 
 // platformCommand runs the daemon where the platform names its settings file.
 func platformCommand(code *int) *cobra.Command {
-	return &cobra.Command{
+	var without switcher.Set
+	c := &cobra.Command{
 		Use:   "platform",
 		Short: "Run on the users' platform, with the settings that it gives",
 		Args:  cobra.NoArgs,
 		Run: func(*cobra.Command, []string) {
-			*code = runPlatform()
+			*code = runPlatform(without)
 		},
 	}
+	c.Flags().Var(&without, "without", withoutUsage)
+	return c
 }
 
-func runPlatform() int {
+// runPlatform runs without the given mechanisms and those that the settings name.
+func runPlatform(without switcher.Set) int {
 	path := platform.SettingsPath()
 	s, err := platform.ReadSettings(path)
 	if err != nil {
 		fmt.Fprintln(os.Stderr, err)
 		return exitBadInput
 	}
+	s.Without |= without
 	if err := platform.Run(path, s); err != nil {
 		fmt.Fprintln(os.Stderr, err)
 		return exitFailed
--- a/internal/process/follower/follow.go
+++ b/internal/process/follower/follow.go
@@ -11,6 +11,7 @@
 
 	"github.com/gullvale/gullvale/internal/process/fronter"
 	"github.com/gullvale/gullvale/internal/process/heartbeater"
+	"github.com/gullvale/gullvale/internal/process/switcher"
 	"github.com/gullvale/gullvale/internal/request/assigner"
 	"github.com/gullvale/gullvale/internal/request/dispatcher"
 	"github.com/gullvale/gullvale/internal/version/loader"
@@ -55,7 +56,9 @@
 		Callers, Checks, Metrics string
 		// StopWithin is the time between the order to stop and the end.
 		StopWithin timekeeper.Millis
-		Log        *logrus.Logger
+		// Without are the mechanisms that are off.
+		Without switcher.Set
+		Log     *logrus.Logger
 	}
 
 	// Follower is an entry that follows a file. Build it with New.
@@ -94,7 +97,8 @@
 		StopWithin:  o.StopWithin,
 		Self:        o.Name,
 		Members:     func() []heartbeater.Member { return self },
-		Homes:       &assigner.Assigner{Region: o.Site.Region(), Regions: t.Regions()},
+		Homes:       &assigner.Assigner{Region: o.Site.Region(), Regions: t.Regions(), Without: o.Without},
+		Without:     o.Without,
 		Bounds: func() fronter.Bounds {
 			return fronter.Bounds{RetryRatio: retryRatio, RetryBurst: retryBurst, RetryWindow: retryWindow}
 		},
--- /dev/null
+++ b/internal/process/fronter/export_test.go
@@ -0,0 +1,6 @@
+package fronter
+
+import "context"
+
+// AwaitStart is awaitStart.
+func (f *Fronter) AwaitStart(ctx context.Context) { f.awaitStart(ctx) }
--- a/internal/process/fronter/fronter.go
+++ b/internal/process/fronter/fronter.go
@@ -15,6 +15,7 @@
 	"github.com/gullvale/gullvale/internal/connection/tracker"
 	"github.com/gullvale/gullvale/internal/process/heartbeater"
 	"github.com/gullvale/gullvale/internal/process/measurer"
+	"github.com/gullvale/gullvale/internal/process/switcher"
 	"github.com/gullvale/gullvale/internal/request/assigner"
 	"github.com/gullvale/gullvale/internal/request/dispatcher"
 	"github.com/gullvale/gullvale/internal/version/cataloger"
@@ -92,6 +93,8 @@
 		Bounds func() Bounds
 		// Homes knows where keys live.
 		Homes *assigner.Assigner
+		// Without are the mechanisms that are off.
+		Without switcher.Set
 		// Changed is told that the entry became ready.
 		Changed func()
 
@@ -146,6 +149,7 @@
 		Waited:    pipeliner.Waited,
 		Decided:   f.logDecision,
 		Meter:     f.Meter,
+		Without:   o.Without,
 	}
 	return f
 }
@@ -182,6 +186,7 @@
 
 // Start opens the listeners.
 func (f *Fronter) Start() error {
+	f.tellWithout()
 	ctx, cancel := context.WithCancel(context.Background())
 	f.cancel = cancel
 	if err := f.startListeners(); err != nil {
@@ -196,6 +201,19 @@
 	return nil
 }
 
+// tellWithout writes a line and sets a metric for what is off, so that figures of an
+// experiment are not taken for those of the whole.
+func (f *Fronter) tellWithout() {
+	s := f.options.Without
+	if s == 0 {
+		return
+	}
+	f.options.Log.WithField("without", s.String()).Warn("mechanisms off")
+	for _, m := range s.List() {
+		f.Meter.Gauge("mechanism_off", measurer.Labels{Kind: m.String()}, 1)
+	}
+}
+
 func (f *Fronter) startListeners() error {
 	if f.options.Front != "" {
 		s := f.callers()
--- a/internal/process/fronter/start.go
+++ b/internal/process/fronter/start.go
@@ -6,6 +6,7 @@
 	"sync/atomic"
 	"time"
 
+	"github.com/gullvale/gullvale/internal/process/switcher"
 	"github.com/gullvale/gullvale/pkg/timekeeper"
 )
 
@@ -41,7 +42,7 @@
 // advance ends the start once all is known.
 func (f *Fronter) advance() {
 	s := &f.start
-	if f.Config() == nil || !s.upstreams.Load() || f.options.Homes != nil && !s.homes.Load() {
+	if f.Config() == nil || !s.upstreams.Load() || !f.homed() {
 		return
 	}
 	s.once.Do(func() {
@@ -52,6 +53,11 @@
 	})
 }
 
+// homed tells whether the homes are known, as far as the start needs them.
+func (f *Fronter) homed() bool {
+	return f.options.Homes == nil || f.options.Without.Has(switcher.StartHomes) || f.start.homes.Load()
+}
+
 // started tells whether the entry knows what it needs to serve.
 func (f *Fronter) started() bool {
 	select {
@@ -64,7 +70,7 @@
 
 // awaitStart waits for the end of the start, or until ctx ends or the start takes too long.
 func (f *Fronter) awaitStart(ctx context.Context) {
-	if f.started() {
+	if f.started() || f.options.Without.Has(switcher.StartWaits) {
 		return
 	}
 	rest := f.start.began + startTime - f.clock.Now()
--- a/internal/request/assigner/assigner.go
+++ b/internal/request/assigner/assigner.go
@@ -4,6 +4,7 @@
 	"math"
 	"sync"
 
+	"github.com/gullvale/gullvale/internal/process/switcher"
 	"github.com/gullvale/gullvale/internal/request/placer"
 	"github.com/gullvale/gullvale/internal/version/cataloger"
 	"github.com/gullvale/gullvale/internal/version/resolver"
@@ -53,6 +54,8 @@
 		// Announce hands new homes to the other daemons of the region.
 		Announce func([]Assignment)
 		Clock    timekeeper.Clock
+		// Without are the mechanisms that are off.
+		Without switcher.Set
 
 		lock    sync.Mutex
 		homes   map[hasher.Hash]*home
@@ -106,6 +109,9 @@
 
 // Move makes a key that waits at a full home live at another upstream.
 func (a *Assigner) Move(key hasher.Hash, to *cataloger.Upstream) bool {
+	if a.Without.Has(switcher.Moves) {
+		return false
+	}
 	now := a.Clock.Now()
 	a.lock.Lock()
 	defer a.lock.Unlock()
@@ -190,7 +196,7 @@
 		return nil
 	}
 	if h != nil {
-		if v := a.least(h.known(nil, all, r.Allowed)); v != nil && !a.crowds(v, u, h) {
+		if v := a.least(a.known(nil, h, all, r.Allowed)); v != nil && !a.crowds(v, u, h) {
 			u = v
 		}
 		a.move(key, h, u)
@@ -214,6 +220,9 @@
 			fit = append(fit, u)
 		}
 	}
+	if a.Without.Has(switcher.HomeRegions) {
+		return placer.List(nil, key, fit, func(string) bool { return true })
+	}
 	region := a.spread(r, fit).home(key)
 	return placer.List(nil, key, fit, func(name string) bool { return name == region })
 }
@@ -221,12 +230,12 @@
 // relief returns a candidate with much less load than the home of a key, nil if
 // there is none or no more keys may move now.
 func (a *Assigner) relief(key hasher.Hash, u *cataloger.Upstream, r Request, all []*cataloger.Upstream, now timekeeper.Millis) *cataloger.Upstream {
-	if now-a.looked < reliefEvery || a.allowance(now) < 1 {
+	if a.Without.Has(switcher.Moves) || now-a.looked < reliefEvery || a.allowance(now) < 1 {
 		return nil
 	}
 	a.looked = now
 	h := a.homes[key]
-	for _, l := range [][]*cataloger.Upstream{h.known(nil, all, r.Allowed), a.candidates(key, r, all)} {
+	for _, l := range [][]*cataloger.Upstream{a.known(nil, h, all, r.Allowed), a.candidates(key, r, all)} {
 		if v := a.least(l); v != nil && v != u && a.crowds(u, v, h) {
 			a.take(now)
 			return v
--- a/internal/request/assigner/former.go
+++ b/internal/request/assigner/former.go
@@ -3,6 +3,7 @@
 import (
 	"slices"
 
+	"github.com/gullvale/gullvale/internal/process/switcher"
 	"github.com/gullvale/gullvale/internal/version/cataloger"
 	"github.com/gullvale/gullvale/pkg/hasher"
 )
@@ -35,7 +36,7 @@
 	a.lock.Lock()
 	defer a.lock.Unlock()
 	if h := a.homes[key]; h != nil {
-		l = h.known(l, all, allowed)
+		l = a.known(l, h, all, allowed)
 	}
 	return l
 }
@@ -49,8 +50,11 @@
 	}
 }
 
-// known appends to l the upstreams that are likely to know the key beside its home.
-func (h *home) known(l []*cataloger.Upstream, all []*cataloger.Upstream, allowed func(string) bool) []*cataloger.Upstream {
+// known appends to l the upstreams that are likely to know a key beside its home h.
+func (a *Assigner) known(l []*cataloger.Upstream, h *home, all []*cataloger.Upstream, allowed func(string) bool) []*cataloger.Upstream {
+	if a.Without.Has(switcher.FormerHomes) {
+		return l
+	}
 	for _, f := range h.former {
 		if f == 0 || f == h.upstream {
 			continue
--- a/internal/request/assigner/load_test.go
+++ b/internal/request/assigner/load_test.go
@@ -134,7 +134,8 @@
 // visits sends a key to the next upstream of its list while the first is full.
 func visits(k hasher.Hash, all []*cataloger.Upstream, states func([]*cataloger.Upstream) []placer.State) *cataloger.Upstream {
 	list := placer.List(nil, k, all, anywhere)
-	if i, _ := placer.Choose(states(list), true); i >= 0 {
+	i, _ := placer.Placer{}.Choose(states(list), true)
+	if i >= 0 {
 		return list[i]
 	}
 	return nil
@@ -149,7 +150,7 @@
 				list = append(list, u)
 			}
 		}
-		i, _, move := placer.ChooseHomed(states(list), true)
+		i, _, move := placer.Placer{}.ChooseHomed(states(list), true)
 		if i < 0 || move && !a.Move(k, list[i]) {
 			return nil
 		}
--- a/internal/request/assigner/region.go
+++ b/internal/request/assigner/region.go
@@ -1,6 +1,7 @@
 package assigner
 
 import (
+	"github.com/gullvale/gullvale/internal/process/switcher"
 	"github.com/gullvale/gullvale/internal/version/cataloger"
 	"github.com/gullvale/gullvale/pkg/hasher"
 )
@@ -40,7 +41,7 @@
 		spares += spare[name]
 	}
 	own := min(slots[a.Region]/total/even, 1)
-	if own > 0 && own < 1 && spares > 0 {
+	if own > 0 && own < 1 && spares > 0 && !a.Without.Has(switcher.TightRoutes) {
 		own = a.demands[r.Service].share(r.Route, own)
 	}
 	var s spread
--- a/internal/request/assigner/shed_test.go
+++ b/internal/request/assigner/shed_test.go
@@ -55,7 +55,7 @@
 		}
 		states = append(states, x)
 	}
-	i, _, move := placer.ChooseHomed(states, true)
+	i, _, move := placer.Placer{}.ChooseHomed(states, true)
 	if i < 0 || move && !s.homes.Move(k, list[i]) {
 		return nil
 	}
--- a/internal/request/dispatcher/choose.go
+++ b/internal/request/dispatcher/choose.go
@@ -3,6 +3,7 @@
 import (
 	"slices"
 
+	"github.com/gullvale/gullvale/internal/process/switcher"
 	"github.com/gullvale/gullvale/internal/request/assigner"
 	"github.com/gullvale/gullvale/internal/request/placer"
 	"github.com/gullvale/gullvale/internal/version/cataloger"
@@ -30,7 +31,7 @@
 		list = append(list, home)
 		// Nearly all requests end here. To look for more candidates takes time in
 		// proportion to the upstreams of the service.
-		if state := x.state(home); placer.Judge(state, x.urgent()) == placer.Fit && x.warm(home) {
+		if state := x.state(home); x.d.placer().Judge(state, x.urgent()) == placer.Fit && x.warm(home) {
 			x.take(home, state)
 			return home, placer.Fit
 		}
@@ -84,10 +85,10 @@
 // few keys may move in a second.
 func (x *exchange) pick(list []*cataloger.Upstream, states []placer.State) (int, placer.Verdict) {
 	if !x.homed() {
-		return placer.Choose(states, x.urgent())
+		return x.d.placer().Choose(states, x.urgent())
 	}
-	i, verdict, move := placer.ChooseHomed(states, x.urgent())
-	if move && !x.d.Homes.Move(x.key, list[i]) {
+	i, verdict, move := x.d.placer().ChooseHomed(states, x.urgent())
+	if move && !x.d.Homes.Move(x.key, list[i]) && !x.d.Without.Has(switcher.Waiting) {
 		return -1, verdict
 	}
 	return i, verdict
@@ -107,25 +108,30 @@
 
 // homed tells whether the request's key has a home that is worth keeping to.
 func (x *exchange) homed() bool {
-	return x.d.Homes != nil && x.route.Sticky && x.decision.Key != ""
+	return x.d.Homes != nil && !x.d.Without.Has(switcher.Homes) && x.route.Sticky && x.decision.Key != ""
 }
 
 func (x *exchange) state(u *cataloger.Upstream) placer.State {
 	t := x.d.Upstreams.Of(u)
 	s := t.State(u)
-	s.Tried = slices.Contains(x.tried, u.Incarnation())
-	s.Tried = s.Tried && !x.refusedWithRoom(u, s)
+	s.Tried = slices.Contains(x.tried, u.Incarnation()) && !x.refusedWithRoom(u, s) || x.missed(u)
 	if !s.Tried && u.Cold(x.d.Clock.Now()) {
 		s.Cold = x.d.MayWarm == nil || !x.d.MayWarm(u, t)
 	}
 	return s
 }
 
+// missed tells whether the request was not sent to an upstream that has no back-off
+// either. Without this the request would dial it until its time is over.
+func (x *exchange) missed(u *cataloger.Upstream) bool {
+	return x.d.Without.Has(switcher.BackOff) && slices.Contains(x.unreached, u.Incarnation())
+}
+
 // refusedWithRoom tells whether an upstream that knows the request's key refused it
 // though not all its slots are taken. It is as likely as any to take the request the
 // next time, and needs a third of the work that another one does.
 func (x *exchange) refusedWithRoom(u *cataloger.Upstream, s placer.State) bool {
-	return x.refusedBy == u.Incarnation() && x.homed() && s.Reported < float64(s.Slots)
+	return x.refusedBy == u.Incarnation() && !x.d.Without.Has(switcher.RefusedStay) && x.homed() && s.Reported < float64(s.Slots)
 }
 
 // urgent tells whether no request of the configuration goes before this one.
--- a/internal/request/dispatcher/dispatcher.go
+++ b/internal/request/dispatcher/dispatcher.go
@@ -7,7 +7,9 @@
 
 	"github.com/gullvale/gullvale/internal/connection/tracker"
 	"github.com/gullvale/gullvale/internal/process/measurer"
+	"github.com/gullvale/gullvale/internal/process/switcher"
 	"github.com/gullvale/gullvale/internal/request/assigner"
+	"github.com/gullvale/gullvale/internal/request/placer"
 	"github.com/gullvale/gullvale/internal/version/cataloger"
 	"github.com/gullvale/gullvale/internal/version/matcher"
 	"github.com/gullvale/gullvale/pkg/registrar"
@@ -71,6 +73,8 @@
 		// know.
 		Decided func(*Decision)
 		Meter   *measurer.Meter
+		// Without are the mechanisms that are off.
+		Without switcher.Set
 		Clock   timekeeper.Clock
 
 		active atomic.Int64
@@ -136,13 +140,17 @@
 // answer. A request without a route waits.
 func (d *Dispatcher) MayOverlap(r *http.Request) bool {
 	c := d.Config()
-	if c == nil {
+	if c == nil || d.Without.Has(switcher.RequestsAhead) {
 		return false
 	}
 	route := c.Match(r.Host, pathOf(r))
 	return route != nil && route.Kind.Repeatable()
 }
 
+func (d *Dispatcher) placer() placer.Placer {
+	return placer.Placer{Without: d.Without}
+}
+
 func (d *Dispatcher) behind() timekeeper.Millis {
 	if d.Behind == nil {
 		return 0
--- a/internal/request/dispatcher/exchange.go
+++ b/internal/request/dispatcher/exchange.go
@@ -90,6 +90,8 @@
 	length int64
 
 	tried []cataloger.Incarnation
+	// unreached are the upstreams to which no connection could be opened for the request.
+	unreached []cataloger.Incarnation
 	// refusedBy is the upstream that said last that the request did not run there.
 	refusedBy cataloger.Incarnation
 	// unknown tells that the request may have run.
--- a/internal/request/dispatcher/send.go
+++ b/internal/request/dispatcher/send.go
@@ -41,7 +41,7 @@
 	case errors.Is(err, sender.ErrWithdrawn):
 		return false
 	case errors.Is(err, sender.ErrNotSent):
-		x.notSent(t)
+		x.notSent(u, t)
 		return false
 	}
 	x.tried = append(x.tried, u.Incarnation())
@@ -54,7 +54,8 @@
 }
 
 // notSent notes that a request did not reach its upstream.
-func (x *exchange) notSent(t *tracker.Upstream) {
+func (x *exchange) notSent(u *cataloger.Upstream, t *tracker.Upstream) {
+	x.unreached = append(x.unreached, u.Incarnation())
 	x.decision.Reason = "upstream not reached"
 	if x.r.Context().Err() != nil {
 		return
--- a/internal/request/placer/place.go
+++ b/internal/request/placer/place.go
@@ -1,6 +1,7 @@
 package placer
 
 import (
+	"github.com/gullvale/gullvale/internal/process/switcher"
 	"github.com/gullvale/gullvale/internal/version/cataloger"
 	"github.com/gullvale/gullvale/pkg/hasher"
 )
@@ -45,6 +46,12 @@
 )
 
 type (
+	// Placer judges upstreams. The zero value has every mechanism.
+	Placer struct {
+		// Without are the mechanisms that are off.
+		Without switcher.Set
+	}
+
 	// Verdict says why an upstream does not take a request; Fit is none.
 	Verdict string
 
@@ -120,9 +127,9 @@
 
 // Judge says whether an upstream takes a request now. Urgent is a request of the
 // most urgent rank of its service.
-func Judge(s State, urgent bool) Verdict {
+func (p Placer) Judge(s State, urgent bool) Verdict {
 	line := laterShare
-	if urgent {
+	if urgent || p.Without.Has(switcher.Rank) {
 		line = lineShare
 	}
 	slots := float64(max(s.Slots, 1))
@@ -131,11 +138,11 @@
 		return Tried
 	case s.Gone:
 		return Gone
-	case s.Down:
+	case s.Down && !p.Without.Has(switcher.BackOff):
 		return Down
-	case s.Failing:
+	case s.Failing && !p.Without.Has(switcher.FailureShares):
 		return Failing
-	case s.Reported > line*slots:
+	case s.Reported > line*slots && !p.Without.Has(switcher.LineLimits):
 		return Line
 	case s.Cold:
 		return Cold
@@ -150,24 +157,27 @@
 // work of keys that they do not know, long after the loss, where waiting keys were back at
 // a tenth of it after some seconds. Visits to upstreams that ran the key before do not pay
 // either: -0.002 ± 0.002 of the value of what was asked, in 30 paired days.
-func ChooseHomed(states []State, urgent bool) (i int, first Verdict, move bool) {
-	i, first = Choose(states, urgent)
+func (p Placer) ChooseHomed(states []State, urgent bool) (i int, first Verdict, move bool) {
+	i, first = p.Choose(states, urgent)
 	if i <= 0 || !first.full() {
 		return i, first, false
 	}
 	if states[i].idle() {
 		return i, first, true
 	}
+	if p.Without.Has(switcher.Waiting) {
+		return i, first, false
+	}
 	return -1, first, false
 }
 
 // Choose returns the first state that takes a request, or -1, and why the first
 // one of all was passed over. A failing upstream is taken where no other is left: if all of them
 // refuse half of what they get, every second request is still served.
-func Choose(states []State, urgent bool) (int, Verdict) {
+func (p Placer) Choose(states []State, urgent bool) (int, Verdict) {
 	first, failing := Gone, -1
 	for i, s := range states {
-		v := Judge(s, urgent)
+		v := p.Judge(s, urgent)
 		if i == 0 {
 			first = v
 		}
@@ -175,7 +185,7 @@
 			return i, first
 		}
 		s.Failing = false
-		if v == Failing && failing < 0 && Judge(s, urgent) == Fit {
+		if v == Failing && failing < 0 && p.Judge(s, urgent) == Fit {
 			failing = i
 		}
 	}
--- a/internal/request/placer/place_test.go
+++ b/internal/request/placer/place_test.go
@@ -85,7 +85,7 @@
 	for _, tt := range tests {
 		t.Run(tt.name, func(t *testing.T) {
 			is := is.New(t)
-			got, why := placer.Choose(tt.states, tt.urgent)
+			got, why := placer.Placer{}.Choose(tt.states, tt.urgent)
 			is.Equal(got, tt.want)
 			is.Equal(why, tt.why)
 		})
@@ -110,7 +110,7 @@
 	for _, tt := range tests {
 		t.Run(tt.name, func(t *testing.T) {
 			is := is.New(t)
-			i, _, move := placer.ChooseHomed(tt.states, true)
+			i, _, move := placer.Placer{}.ChooseHomed(tt.states, true)
 			is.Equal(i, tt.want)
 			is.Equal(move, tt.move)
 		})
--- a/test/entry_test.go
+++ b/test/entry_test.go
@@ -39,6 +39,21 @@
 `, version, evacuated, upstreams[0], upstreams[1])
 }
 
+// TestUnknownMechanismsAreRefused starts daemons with names that there are not: they say
+// so, with what there is, before they open anything.
+func TestUnknownMechanismsAreRefused(t *testing.T) {
+	for _, args := range [][]string{{"entry", "--table", "none.toml"}, {"platform"}} {
+		t.Run(args[0], func(t *testing.T) {
+			is := is.New(t)
+			d := start(t, "gullvaled", append(args, "--without", "homes,wings,tails")...)
+			is.Equal(d.exit(), 2)
+			for _, part := range []string{"wings", "tails", "saved-homes"} {
+				is.True(strings.Contains(d.text(), part))
+			}
+		})
+	}
+}
+
 // TestEntryFollowsItsTable runs an entry from a file: routes and limits hold, a
 // changed file is in force soon, and one that is wrong or not newer changes nothing.
 func TestEntryFollowsItsTable(t *testing.T) {
