dispatcher: say what placer returns

Cause: the method was the only new one of the switches without a comment, and its name is that of a package.

--- a/internal/request/dispatcher/dispatcher.go
+++ b/internal/request/dispatcher/dispatcher.go
@@ -147,6 +147,7 @@
 	return route != nil && route.Kind.Repeatable()
 }
 
+// placer judges upstreams with the mechanisms that are on.
 func (d *Dispatcher) placer() placer.Placer {
 	return placer.Placer{Without: d.Without}
 }
