storer: silence within an answer and its length can be set

Cause: a client of another peer than the store wants to give up sooner than after 1 s without a byte, and to read less than 64 MB, by the same limits on progress. Change: Client.Silence and Client.MaxAnswerBytes, whose zero values are the former limits. Ruled out: a second reader with a patience of its own, which would be the same code twice. No figure changes by itself; the tests of the package pass.

--- a/pkg/storer/client.go
+++ b/pkg/storer/client.go
@@ -2,6 +2,7 @@
 
 import (
 	"bytes"
+	"cmp"
 	"context"
 	"encoding/json"
 	"io"
@@ -27,9 +28,9 @@
 	// watchSlack is what a watch may take beyond the wait it asked for.
 	watchSlack = 2 * timekeeper.Second
 
-	// maxAnswerBytes bounds what a list or watch may return, so that a
+	// defaultMaxAnswerBytes bounds what a list or watch may return, so that a
 	// platform gone wrong cannot exhaust the memory of a daemon.
-	maxAnswerBytes = 64 << 20
+	defaultMaxAnswerBytes = 64 << 20
 )
 
 // The outcomes of a call, to be tested with errors.Is.
@@ -78,6 +79,11 @@
 		Token   string
 		// Timeout bounds a call; 0 means DefaultTimeout.
 		Timeout timekeeper.Millis
+		// Silence is how long nothing may come of an answer that has begun; 0 means
+		// some retransmissions of a path that loses packets.
+		Silence timekeeper.Millis
+		// MaxAnswerBytes bounds an answer; 0 means 64 MB.
+		MaxAnswerBytes int64
 		// Do sends a request; nil means httpc.DoRequest.
 		Do func(*http.Request) (*http.Response, error)
 
@@ -197,7 +203,7 @@
 // long the whole takes depends on its length and the path. An answer that is no success is
 // an error, beside which the body is returned.
 func (c *Client) Call(q *http.Request, timeout timekeeper.Millis) (*http.Response, []byte, error) {
-	ctx, patience := newPatience(q.Context(), timeout)
+	ctx, patience := newPatience(q.Context(), timeout, cmp.Or(c.Silence, defaultSilence))
 	defer patience.stop()
 	q = q.WithContext(ctx)
 	if q.Body != http.NoBody {
@@ -212,7 +218,7 @@
 		return nil, nil, classify(q, err, 0)
 	}
 	defer p.Body.Close()
-	body, err := io.ReadAll(io.LimitReader(watched{p.Body, patience}, maxAnswerBytes))
+	body, err := io.ReadAll(io.LimitReader(watched{p.Body, patience}, cmp.Or(c.MaxAnswerBytes, defaultMaxAnswerBytes)))
 	c.calls.Bytes.Add(uint64(len(body)) + uint64(max(q.ContentLength, 0)))
 	if err != nil {
 		return nil, nil, classify(q, err, len(body))
--- a/pkg/storer/patience.go
+++ b/pkg/storer/patience.go
@@ -10,12 +10,12 @@
 )
 
 const (
-	// silence is how long nothing may come of an answer that has begun, or go of a body
+	// defaultSilence is how long nothing may come of an answer that has begun, or go of a body
 	// that is being sent: some retransmissions of a path that loses packets. It is
 	// counted from byte to byte, since a limit on the whole makes what is longer than
 	// limit times bandwidth unreadable for ever: with 600 ms for a whole answer, VMs with
 	// 10 Mbit/s never had a configuration of 1 MB (TestLargeConfigurationOverNarrowLinks).
-	silence = 1 * timekeeper.Second
+	defaultSilence = 1 * timekeeper.Second
 
 	// longestTransfer bounds the transfer of one call, so that one that trickles ends:
 	// MaxObjectBytes in this time are 70 KB/s, a twentieth of the narrowest link.
@@ -23,20 +23,22 @@
 )
 
 // patience ends a call that makes no progress. It begins with the time that a call has for
-// its answer to begin; whatever moves extends that by silence, and never shortens it.
+// its answer to begin; whatever moves extends that by the silence that may follow, and
+// never shortens it.
 type patience struct {
-	end   context.CancelCauseFunc
-	lock  sync.Mutex
-	timer *time.Timer
-	until time.Time
-	last  time.Time
+	end     context.CancelCauseFunc
+	silence time.Duration
+	lock    sync.Mutex
+	timer   *time.Timer
+	until   time.Time
+	last    time.Time
 }
 
 // newPatience returns a context that ends when a call has made no progress for too long.
-func newPatience(ctx context.Context, timeout timekeeper.Millis) (context.Context, *patience) {
+func newPatience(ctx context.Context, timeout, silence timekeeper.Millis) (context.Context, *patience) {
 	ctx, end := context.WithCancelCause(ctx)
 	until := time.Now().Add(timeout.Duration())
-	p := &patience{end: end, until: until, last: until.Add(longestTransfer.Duration())}
+	p := &patience{end: end, silence: silence.Duration(), until: until, last: until.Add(longestTransfer.Duration())}
 	p.timer = time.AfterFunc(timeout.Duration(), p.expire)
 	return ctx, p
 }
@@ -55,7 +57,7 @@
 func (p *patience) moved() {
 	p.lock.Lock()
 	defer p.lock.Unlock()
-	until := time.Now().Add(silence.Duration())
+	until := time.Now().Add(p.silence)
 	if until.After(p.last) {
 		until = p.last
 	}
