--- a/internal/process/heartbeater/beater.go
+++ b/internal/process/heartbeater/beater.go
@@ -51,8 +51,8 @@
 	// searchSize is to how many known members one that hears no lead sends.
 	searchSize = 12
 
-	// maxRelayBytes bounds the changes in a datagram. Longer ones are read
-	// from the store by each member.
+	// maxRelayBytes bounds the changes in a datagram. Longer ones are announced
+	// as omitted, and members fetch them.
 	maxRelayBytes = 32 << 10
 )
 
@@ -74,8 +74,8 @@
 	}
 
 	// Changes is what a lead relays: all changes of a kind of object with
-	// revisions above From and up to To. With Omitted they have to be read
-	// from the store.
+	// revisions above From and up to To. With Omitted they have to be fetched
+	// from the lead or read from the store.
 	Changes struct {
 		Kind    string
 		From    uint64
@@ -216,7 +216,7 @@
 		b.Homed(assignments(h))
 	}
 	if r := d.Relay; r != nil && b.Relayed != nil {
-		b.Relayed(Changes{Kind: r.Kind, From: r.From, To: r.To, Body: r.Changes, Omitted: r.Omitted})
+		b.Relayed(changesOf(r))
 	}
 	return true
 }
--- a/internal/process/heartbeater/lead.go
+++ b/internal/process/heartbeater/lead.go
@@ -12,6 +12,18 @@
 	return b.lead(self) == nil
 }
 
+// Lead returns the address for datagrams of the other member that leads the region, ""
+// if there is none.
+func (b *Beater) Lead() string {
+	self := b.Self()
+	b.lock.Lock()
+	defer b.lock.Unlock()
+	if k := b.lead(self); k != nil {
+		return k.Beats
+	}
+	return ""
+}
+
 // Led tells whether another member leads the region, was heard lately as such, and
 // hears of changes itself.
 func (b *Beater) Led() bool {
--- /dev/null
+++ b/internal/process/relayer/export_test.go
@@ -0,0 +1,4 @@
+package relayer
+
+// MaxAnswers is maxAnswers.
+const MaxAnswers = maxAnswers
