--- a/pkg/storer/client.go
+++ b/pkg/storer/client.go
@@ -28,9 +28,9 @@
 	// watchSlack is what a watch may take beyond the wait it asked for.
 	watchSlack = 2 * timekeeper.Second
 
-	// maxAnswerBytes bounds what a list or watch may return, so that a
+	// defaultMaxAnswerBytes bounds what a list or watch may return, so that a
 	// platform gone wrong cannot exhaust the memory of a daemon.
-	maxAnswerBytes = 64 << 20
+	defaultMaxAnswerBytes = 64 << 20
 )
 
 // The outcomes of a call, to be tested with errors.Is.
@@ -83,6 +83,8 @@
 		// LongestTransfer how much longer than its timeout a call may take in all; 0
 		// means the usual ones.
 		Silence, LongestTransfer timekeeper.Millis
+		// MaxAnswerBytes bounds an answer; 0 means 64 MB.
+		MaxAnswerBytes int64
 		// Do sends a request; nil means httpc.DoRequest.
 		Do func(*http.Request) (*http.Response, error)
 		// TimedOut is told of each call that was given up: other connections to the
@@ -203,13 +205,12 @@
 // Call makes a call that Request built and returns its answer with the body read.
 // The answer must begin within the timeout after the last byte of a long body, and go on
 // without long silence after that: how long the whole takes depends on its length and the
-// path. An answer that is no success is
-// an error, beside which the body is returned.
+// path. An answer that is no success is an error, beside which the body is returned.
 func (c *Client) Call(q *http.Request, timeout timekeeper.Millis) (*http.Response, []byte, error) {
 	ctx, patience := c.patience(q.Context(), timeout)
 	defer patience.stop()
 	q = q.WithContext(ctx)
-	rest := cmp.Or(c.Silence, silence).Duration()
+	rest := cmp.Or(c.Silence, defaultSilence).Duration()
 	if q.ContentLength > shortBody {
 		// What is read of a body may yet wait in the buffers of the connection.
 		q.Body = watched{q.Body, patience, timeout.Duration() + rest}
@@ -223,7 +224,7 @@
 		return nil, nil, c.failure(q, err, 0)
 	}
 	defer p.Body.Close()
-	body, err := io.ReadAll(io.LimitReader(watched{p.Body, patience, rest}, maxAnswerBytes))
+	body, err := io.ReadAll(io.LimitReader(watched{p.Body, patience, rest}, cmp.Or(c.MaxAnswerBytes, defaultMaxAnswerBytes)))
 	c.calls.Bytes.Add(uint64(len(body)) + uint64(max(q.ContentLength, 0)))
 	if err != nil {
 		return nil, nil, c.failure(q, err, len(body))
--- a/pkg/storer/patience.go
+++ b/pkg/storer/patience.go
@@ -11,12 +11,12 @@
 )
 
 const (
-	// silence is how long nothing may come of an answer that has begun, or go of a body
+	// defaultSilence is how long nothing may come of an answer that has begun, or go of a body
 	// that is being sent: some retransmissions of a path that loses packets. It is
 	// counted from byte to byte, since a limit on the whole makes what is longer than
 	// limit times bandwidth unreadable for ever: with 600 ms for a whole answer, VMs with
 	// 10 Mbit/s never had a configuration of 1 MB (TestLargeConfigurationOverNarrowLinks).
-	silence = 1 * timekeeper.Second
+	defaultSilence = 1 * timekeeper.Second
 
 	// longestTransfer bounds the transfer of one call, so that one that trickles ends:
 	// MaxObjectBytes in this time are 70 KB/s, a twentieth of the narrowest link.
