--- a/pkg/storer/client.go
+++ b/pkg/storer/client.go
@@ -201,10 +201,9 @@
 }
 
 // Call makes a call that Request built and returns its answer with the body read.
-// The answer must begin within the timeout after the last byte of a long body, and go on
-// without long silence after that: how long the whole takes depends on its length and the
-// path. An answer that is no success is
-// an error, beside which the body is returned.
+// The answer must begin within the timeout, counted anew after the last byte of a long body,
+// and go on without long silence after that: how long the whole takes depends on its length
+// and the path. An answer that is no success is an error, beside which the body is returned.
 func (c *Client) Call(q *http.Request, timeout timekeeper.Millis) (*http.Response, []byte, error) {
 	ctx, patience := c.patience(q.Context(), timeout)
 	defer patience.stop()
--- a/pkg/storer/patience.go
+++ b/pkg/storer/patience.go
@@ -76,8 +76,7 @@
 	}
 }
 
-// watched is a body whose reading is progress. After the last byte of an answer silence is
-// its end, and after that of a body that is sent the answer has all its time to begin.
+// watched is a body whose reading is progress, after which nothing may move for rest.
 type watched struct {
 	io.ReadCloser
 	patience *patience
