dispatcher: lines tell whether a lost connection ended its upstream, and of which request

On call could not tell which requests of one key were the same request, nor whether an upstream had ended or had only closed a connection: lines had route and key, and the reason "connection lost" for both.

After a connection was closed under a request, a new one is opened beside the exchange. A refusal says that the upstream has ended; one that opens is kept for the next request. A line "connection lost" and a counter say what was found, with a fingerprint of the request: method, host, path with query, who asks, body; of a body over 64 KB its beginning and its length. No decision uses it yet.

TestLossIsChecked has upstreams that reset, break off, end, and leave.

--- a/internal/connection/sender/pool.go
+++ b/internal/connection/sender/pool.go
@@ -92,6 +92,17 @@
 	return newConn(c, p.Count), nil
 }
 
+// Check opens a connection, to tell a lost connection from an upstream that has ended, and
+// keeps it for the next request. The error is that of the dial.
+func (p *Pool) Check(ctx context.Context) error {
+	c, err := p.dial(ctx)
+	if err != nil {
+		return err
+	}
+	p.put(c)
+	return nil
+}
+
 // pop takes the connection that was used last, so that the others grow old and
 // are closed.
 func (p *Pool) pop() *conn {
--- a/internal/process/fronter/fronter.go
+++ b/internal/process/fronter/fronter.go
@@ -18,6 +18,7 @@
 	"github.com/gullvale/gullvale/internal/process/switcher"
 	"github.com/gullvale/gullvale/internal/request/assigner"
 	"github.com/gullvale/gullvale/internal/request/dispatcher"
+	"github.com/gullvale/gullvale/internal/request/quarantiner"
 	"github.com/gullvale/gullvale/internal/version/cataloger"
 	"github.com/gullvale/gullvale/internal/version/matcher"
 	"github.com/gullvale/gullvale/pkg/registrar"
@@ -155,6 +156,7 @@
 		Start:     f.awaitStart,
 		Waited:    pipeliner.Waited,
 		Decided:   f.logDecision,
+		Lost:      f.logLoss,
 		Meter:     f.Meter,
 		Without:   o.Without,
 	}
@@ -389,10 +391,30 @@
 	timekeeper.Every(ctx, forgetEvery, f.options.Homes.Forget)
 }
 
+// mayLog tells whether one more line about a request may be written now, and counts those
+// that may not.
+func (f *Fronter) mayLog() bool {
+	if f.lines.Allow() {
+		return true
+	}
+	f.Meter.Count("log_lines_dropped", measurer.Labels{})
+	return false
+}
+
+// logLoss writes one line for a connection that was lost under a request.
+func (f *Fronter) logLoss(l *dispatcher.Loss) {
+	if !f.mayLog() {
+		return
+	}
+	f.options.Log.WithFields(logrus.Fields{
+		"id": l.ID, "fingerprint": l.Fingerprint.String(), "service": l.Service,
+		"upstream": l.Upstream.ID, "site": l.Upstream.Site, "ending": l.Ending,
+	}).Info("connection lost")
+}
+
 // logDecision writes one line for a request that ended.
 func (f *Fronter) logDecision(e *dispatcher.Decision) {
-	if !f.lines.Allow() {
-		f.Meter.Count("log_lines_dropped", measurer.Labels{})
+	if !f.mayLog() {
 		return
 	}
 	fields := logrus.Fields{
@@ -408,6 +430,9 @@
 	if left := e.Placement.Left; left != nil {
 		fields["left"], fields["leftSite"] = left.ID, left.Site
 	}
+	if e.Fingerprint != (quarantiner.Fingerprint{}) {
+		fields["fingerprint"] = e.Fingerprint.String()
+	}
 	f.options.Log.WithFields(fields).Info("request")
 }
 
--- a/internal/request/dispatcher/answer.go
+++ b/internal/request/dispatcher/answer.go
@@ -11,6 +11,7 @@
 	"github.com/gullvale/gullvale/internal/connection/tracker"
 	"github.com/gullvale/gullvale/internal/request/exchanger"
 	"github.com/gullvale/gullvale/internal/request/forwarder"
+	"github.com/gullvale/gullvale/internal/version/cataloger"
 	"github.com/gullvale/gullvale/pkg/timekeeper"
 )
 
@@ -25,7 +26,7 @@
 
 // answer passes an upstream's answer on, and reports false if it is none that
 // the caller should get yet.
-func (x *exchange) answer(t *tracker.Upstream, a *sender.Answer) bool {
+func (x *exchange) answer(u *cataloger.Upstream, t *tracker.Upstream, a *sender.Answer) bool {
 	if a.Status == http.StatusMisdirectedRequest {
 		x.ended(t)
 		x.decision.Reason = "other incarnation"
@@ -51,7 +52,7 @@
 		drain(a)
 		return false
 	}
-	return x.pass(t, a, failed)
+	return x.pass(u, t, a, failed)
 }
 
 // ended notes that the upstream that was tried last has ended. While the store is away that
@@ -82,12 +83,13 @@
 }
 
 // pass hands an answer to the caller, whole or visibly broken.
-func (x *exchange) pass(t *tracker.Upstream, a *sender.Answer, failed bool) bool {
+func (x *exchange) pass(u *cataloger.Upstream, t *tracker.Upstream, a *sender.Answer, failed bool) bool {
 	b := held.Get().(*[heldBytes]byte)
 	defer held.Put(b)
 	n, err := io.ReadFull(a, b[:])
 	whole := err == io.EOF || err == io.ErrUnexpectedEOF && a.Whole()
 	if err != nil && !whole {
+		x.check(u, t, err)
 		return x.broken(t, "answer broke off")
 	}
 	t.Reached(failed)
@@ -99,12 +101,12 @@
 		x.passed(a.Status, err)
 		return true
 	}
-	x.passLong(a, b[:], n)
+	x.passLong(u, t, a, b[:], n)
 	return true
 }
 
 // passLong passes on an answer that is longer than what is held.
-func (x *exchange) passLong(a *sender.Answer, b []byte, n int) {
+func (x *exchange) passLong(u *cataloger.Upstream, t *tracker.Upstream, a *sender.Answer, b []byte, n int) {
 	if a.Length >= 0 {
 		x.w.Header().Set("Content-Length", strconv.FormatInt(a.Length, 10))
 	}
@@ -122,6 +124,7 @@
 			return
 		}
 		if err != nil {
+			x.check(u, t, err)
 			x.finish(exchanger.Answered, "answer broke off", a.Status)
 			// Closing the connection is how HTTP/1.1 says that an answer
 			// is broken.
--- a/internal/request/dispatcher/dispatcher.go
+++ b/internal/request/dispatcher/dispatcher.go
@@ -10,6 +10,7 @@
 	"github.com/gullvale/gullvale/internal/process/switcher"
 	"github.com/gullvale/gullvale/internal/request/assigner"
 	"github.com/gullvale/gullvale/internal/request/placer"
+	"github.com/gullvale/gullvale/internal/request/quarantiner"
 	"github.com/gullvale/gullvale/internal/version/cataloger"
 	"github.com/gullvale/gullvale/internal/version/matcher"
 	"github.com/gullvale/gullvale/pkg/registrar"
@@ -35,6 +36,8 @@
 		Proof string
 		// Load states running and waiting requests and slots.
 		Load string
+		// Callers say who asks, beside the standard fields for that.
+		Callers []string
 	}
 
 	// Warmth is asked about one more request to a cold upstream now.
@@ -75,7 +78,10 @@
 		// Decided is told how each request ended. Nil means nobody wants to
 		// know.
 		Decided func(*Decision)
-		Meter   *measurer.Meter
+		// Lost is told of each connection that was lost under a request, and whether its
+		// upstream had ended. Nil means nobody wants to know.
+		Lost  func(*Loss)
+		Meter *measurer.Meter
 		// Without are the mechanisms that are off.
 		Without switcher.Set
 		Clock   timekeeper.Clock
@@ -120,6 +126,8 @@
 		// Load and Own are what was known of Upstream.
 		Load float64
 		Own  int
+		// Fingerprint stands for the request if it was looked at, the zero value if not.
+		Fingerprint quarantiner.Fingerprint
 	}
 )
 
--- a/internal/request/dispatcher/dispatcher_test.go
+++ b/internal/request/dispatcher/dispatcher_test.go
@@ -66,7 +66,7 @@
 }
 
 // add starts an upstream.
-func (s *site) add(t *testing.T, id string, serve http.HandlerFunc) {
+func (s *site) add(t *testing.T, id string, serve http.HandlerFunc) *httptest.Server {
 	l := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
 		w.Header().Set(fields.RequestID, r.Header.Get(fields.RequestID))
 		s.lock.Lock()
@@ -76,6 +76,7 @@
 	}))
 	t.Cleanup(l.Close)
 	s.catalog.Put(cataloger.Upstream{ID: cataloger.UpstreamID(id), Service: "s", Address: l.Listener.Addr().String(), Site: "east/a", Slots: 4})
+	return l
 }
 
 func (s *site) ask(method, id string, change func(*http.Request)) (*http.Response, string) {
--- a/internal/request/dispatcher/exchange.go
+++ b/internal/request/dispatcher/exchange.go
@@ -1,6 +1,7 @@
 package dispatcher
 
 import (
+	"bytes"
 	"io"
 	"net/http"
 	"strconv"
@@ -8,6 +9,7 @@
 
 	"github.com/gullvale/gullvale/internal/request/assigner"
 	"github.com/gullvale/gullvale/internal/request/exchanger"
+	"github.com/gullvale/gullvale/internal/request/quarantiner"
 	"github.com/gullvale/gullvale/internal/version/cataloger"
 	"github.com/gullvale/gullvale/internal/version/matcher"
 	"github.com/gullvale/gullvale/internal/version/resolver"
@@ -86,8 +88,12 @@
 
 	header http.Header
 	short  []byte
-	stream io.Reader
-	length int64
+	// stream is a body that is not short, and beginning what was read of it.
+	stream    io.Reader
+	beginning []byte
+	length    int64
+	// fingerprint stands for the request once it was asked for.
+	fingerprint *quarantiner.Fingerprint
 
 	tried []cataloger.Incarnation
 	// misdirected is how many of them had ended: another incarnation said so and ran nothing.
@@ -246,7 +252,8 @@
 		x.short = b
 		return true
 	}
-	x.stream = io.MultiReader(strings.NewReader(string(b)), body)
+	x.beginning = b
+	x.stream = io.MultiReader(bytes.NewReader(b), body)
 	return true
 }
 
--- /dev/null
+++ b/internal/request/dispatcher/loss_test.go
@@ -0,0 +1,63 @@
+package dispatcher_test
+
+import (
+	"net/http"
+	"net/http/httptest"
+	"testing"
+
+	"github.com/matryer/is"
+
+	"github.com/gullvale/gullvale/internal/request/dispatcher"
+	"github.com/gullvale/gullvale/internal/request/quarantiner"
+	"github.com/gullvale/gullvale/internal/version/cataloger"
+	"github.com/gullvale/gullvale/internal/version/matcher"
+)
+
+// ends closes the listener of an upstream and then the connection of the request.
+func ends(l **httptest.Server) http.HandlerFunc {
+	return func(http.ResponseWriter, *http.Request) {
+		(*l).Listener.Close()
+		panic(http.ErrAbortHandler)
+	}
+}
+
+// TestLossIsChecked has an upstream close the connection under a request in several ways. A
+// new connection tells them apart.
+func TestLossIsChecked(t *testing.T) {
+	tests := []struct {
+		name   string
+		serve  func(l **httptest.Server) http.HandlerFunc
+		before func(s *site)
+		want   dispatcher.Ending
+	}{
+		{"resets", func(**httptest.Server) http.HandlerFunc { return breaks }, nil, dispatcher.Alive},
+		{"breaks off its answer", func(**httptest.Server) http.HandlerFunc { return cuts }, nil, dispatcher.Alive},
+		{"ends", ends, nil, dispatcher.Ended},
+		{"leaves", ends, func(s *site) { s.catalog.Remove("u") }, dispatcher.Leaving},
+	}
+	for _, x := range tests {
+		t.Run(x.name, func(t *testing.T) {
+			is := is.New(t)
+			s := newSite(t, matcher.Once)
+			losses := make(chan *dispatcher.Loss, 1)
+			s.Lost = func(l *dispatcher.Loss) { losses <- l }
+			var l *httptest.Server
+			serve := x.serve(&l)
+			l = s.add(t, "u", func(w http.ResponseWriter, r *http.Request) {
+				if x.before != nil {
+					x.before(s)
+				}
+				serve(w, r)
+			})
+			p, _ := s.ask(http.MethodPost, "id", nil)
+			is.Equal(p.StatusCode, http.StatusBadGateway)
+			loss := <-losses
+			is.Equal(loss.Ending, x.want)
+			is.Equal(loss.ID, "id")
+			is.Equal(loss.Upstream.ID, cataloger.UpstreamID("u"))
+			is.Equal(loss.Fingerprint, quarantiner.Content{
+				Method: "POST", Host: "h.example", Target: "/x?y=z", Body: []byte("body"), Length: 4,
+			}.Fingerprint())
+		})
+	}
+}
--- a/internal/request/dispatcher/send.go
+++ b/internal/request/dispatcher/send.go
@@ -46,12 +46,12 @@
 	}
 	x.tried = append(x.tried, u.Incarnation())
 	if err != nil {
-		return x.lost(t, err)
+		return x.lost(u, t, err)
 	}
 	defer a.Close()
 	defer func() { x.decision.Bytes += a.Bytes() }()
 	x.note(t, a)
-	return x.answer(t, a)
+	return x.answer(u, t, a)
 }
 
 // notSent notes that a request did not reach its upstream.
@@ -110,7 +110,7 @@
 }
 
 // lost handles a request that was sent and got no answer.
-func (x *exchange) lost(t *tracker.Upstream, err error) bool {
+func (x *exchange) lost(u *cataloger.Upstream, t *tracker.Upstream, err error) bool {
 	x.unknown = true
 	if x.r.Context().Err() != nil {
 		x.decision.Reason = "caller left"
@@ -127,6 +127,7 @@
 		x.decision.Reason = "malformed answer"
 	default:
 		x.decision.Reason = "connection lost"
+		x.check(u, t, err)
 	}
 	x.d.Meter.Count("upstream_lost", x.labels(x.decision.Reason))
 	return false
--- /dev/null
+++ b/internal/request/quarantiner/fingerprint.go
@@ -0,0 +1,71 @@
+package quarantiner
+
+import (
+	"crypto/sha256"
+	"encoding/hex"
+	"hash"
+	"io"
+	"strconv"
+	"strings"
+
+	"github.com/rotisserie/eris"
+)
+
+type (
+	// Fingerprint stands for a request: the same method, host, target, caller and body give
+	// the same one. It is cut from a cryptographic hash, so that nobody can make a request
+	// that passes for another one.
+	Fingerprint [16]byte
+
+	// Content is what a fingerprint is made of.
+	Content struct {
+		Method string
+		Host   string
+		// Target is the path and query.
+		Target string
+		// Caller is all that says who asks, such as credentials: two organisations that send
+		// the same bytes send different requests.
+		Caller []string
+		// Body is the whole body, or the beginning of one that is not at hand whole.
+		Body []byte
+		// Length is the length of the whole body in bytes, -1 if it is not known.
+		Length int64
+	}
+)
+
+// Fingerprint returns the fingerprint of the request.
+func (c Content) Fingerprint() (f Fingerprint) {
+	h := sha256.New()
+	field(h, c.Method)
+	field(h, strings.ToLower(c.Host))
+	field(h, c.Target)
+	field(h, strconv.Itoa(len(c.Caller)))
+	for _, s := range c.Caller {
+		field(h, s)
+	}
+	field(h, strconv.FormatInt(c.Length, 10))
+	_, _ = h.Write(c.Body)
+	copy(f[:], h.Sum(nil))
+	return f
+}
+
+// field writes a field and its length, so that no two lists of fields write the same.
+func field(h hash.Hash, s string) {
+	_, _ = io.WriteString(h, strconv.Itoa(len(s)))
+	_, _ = io.WriteString(h, ":")
+	_, _ = io.WriteString(h, s)
+}
+
+// String returns the fingerprint in hexadecimal digits.
+func (f Fingerprint) String() string {
+	return hex.EncodeToString(f[:])
+}
+
+// ParseFingerprint reads what String returns.
+func ParseFingerprint(s string) (f Fingerprint, err error) {
+	b, err := hex.DecodeString(s)
+	if err != nil || len(b) != len(f) {
+		return f, eris.Errorf("fingerprint %q is not %d hexadecimal digits", s, hex.EncodedLen(len(f)))
+	}
+	return Fingerprint(b), nil
+}
