dispatcher: upstreams that are known to be down make room for the next by the key's hash

Callers of some keys got 503 "upstream not reached, down" in a millisecond, for as long as the store was out, while most upstreams were idle and callers of other keys were served.

Cause: only the home of a key, where it ran before, and the three upstreams that its hash prefers were looked at, whatever was known of them. When all of them had ended and their entries could not be removed, nothing was left. A deadly request brings that about for the keys that share its upstreams, and so does the loss of a failure domain while the store is out.

Now, when none of them can be reached, the next by the hash are looked at, of those that are neither known to be down, ended or tried nor too cold. Only then: a key whose upstreams have too much to do stays with them, as before, and requests whose first choice takes them cost nothing more.

--- a/internal/request/dispatcher/choose.go
+++ b/internal/request/dispatcher/choose.go
@@ -10,8 +10,9 @@
 )
 
 // maxCandidates is how many upstreams are looked at for a request: its key's home, those
-// that ran the key before, and those that the key's hash prefers.
-const maxCandidates = 1 + assigner.FormerLength + placer.ListLength
+// that ran the key before, those that the key's hash prefers, and as many in their place if
+// none of them can be reached.
+const maxCandidates = 1 + assigner.FormerLength + 2*placer.ListLength
 
 // choose picks the upstream of the next sending.
 func (x *exchange) choose() (*cataloger.Upstream, placer.Verdict) {
@@ -39,10 +40,13 @@
 		}
 		list = x.d.Homes.Former(list, x.key, all, x.route.Allows)
 	}
-	list = x.candidates(list, all)
+	list = x.candidates(list, all, x.allows)
 	var states [maxCandidates]placer.State
-	for i, u := range list {
-		states[i] = x.state(u)
+	if !x.judge(list, states[:]) {
+		// Ended upstreams stay listed while the store is out. Daemons that know the same of
+		// them agree on the next ones by the hash of the key.
+		list = x.candidates(list, all, x.takes)
+		x.judge(list, states[:])
 	}
 	for {
 		i, verdict := x.pick(list, states[:len(list)])
@@ -114,11 +118,37 @@
 	return i, verdict
 }
 
-// candidates adds the upstreams that the hash of the request's key prefers to l, which
-// may hold the key's home.
-func (x *exchange) candidates(l []*cataloger.Upstream, all []*cataloger.Upstream) []*cataloger.Upstream {
+// judge notes the states of the candidates, and tells whether any of them can be reached as
+// far as is known.
+func (x *exchange) judge(list []*cataloger.Upstream, states []placer.State) bool {
+	reachable := false
+	for i, u := range list {
+		states[i] = x.state(u)
+		reachable = reachable || states[i].Reachable()
+	}
+	return reachable
+}
+
+// allows tells whether the request may run at u by its route.
+func (x *exchange) allows(u *cataloger.Upstream) bool {
+	return x.route.Allows(u.Site.Region())
+}
+
+// takes tells whether u is allowed, can be reached and is not too cold. It costs much more
+// than allows.
+func (x *exchange) takes(u *cataloger.Upstream) bool {
+	if !x.allows(u) {
+		return false
+	}
+	s := x.state(u)
+	return s.Reachable() && !s.Cold
+}
+
+// candidates adds to l, which may hold the key's home, the upstreams that the hash of the
+// request's key prefers among those that take it.
+func (x *exchange) candidates(l, all []*cataloger.Upstream, take func(*cataloger.Upstream) bool) []*cataloger.Upstream {
 	var space [placer.ListLength]*cataloger.Upstream
-	for _, u := range placer.List(space[:0], x.key, all, x.route.Allows) {
+	for _, u := range placer.ListOf(space[:0], x.key, all, take) {
 		if !slices.Contains(l, u) && len(l) < cap(l) {
 			l = append(l, u)
 		}
--- a/internal/request/placer/place.go
+++ b/internal/request/placer/place.go
@@ -80,6 +80,11 @@
 	return v == Line
 }
 
+// Reachable tells whether nothing is known that keeps requests from the upstream.
+func (s State) Reachable() bool {
+	return !s.Gone && !s.Down && !s.Tried
+}
+
 // idle tells whether an upstream has room for a key that it does not know, whose
 // requests take several times as long at first.
 func (s State) idle() bool {
@@ -90,9 +95,14 @@
 // order of those that allowed takes. An upstream that comes or goes moves only
 // its own keys.
 func List(l []*cataloger.Upstream, key hasher.Hash, all []*cataloger.Upstream, allowed func(region string) bool) []*cataloger.Upstream {
+	return ListOf(l, key, all, func(u *cataloger.Upstream) bool { return allowed(u.Site.Region()) })
+}
+
+// ListOf is List with a choice by upstream.
+func ListOf(l []*cataloger.Upstream, key hasher.Hash, all []*cataloger.Upstream, take func(*cataloger.Upstream) bool) []*cataloger.Upstream {
 	var scores [ListLength]hasher.Hash
 	for _, u := range all {
-		if !allowed(u.Site.Region()) {
+		if !take(u) {
 			continue
 		}
 		l = insert(l, &scores, u, hasher.Mix(key, u.Hash()))
