--- a/internal/request/dispatcher/quarantine.go
+++ b/internal/request/dispatcher/quarantine.go
@@ -8,11 +8,6 @@
 	"github.com/gullvale/gullvale/pkg/hasher"
 )
 
-// patientCrashes is from how many crashes in a row on a request is treated with care: it is
-// not repeated without its caller, and it goes to upstreams of its own choice. The first crash
-// is mostly that of an innocent request, which is served best by a repeat.
-const patientCrashes = 2
-
 // callerFields are the standard fields that say who asks.
 var callerFields = []string{"Authorization", "Cookie"}
 
@@ -74,12 +69,16 @@
 
 // barredNow tells whether the request came into quarantine since it was looked at.
 func (x *exchange) barredNow() bool {
-	return x.suspected() && x.d.Quarantine.Look(x.print(), x.sighting).Barred
+	if !x.suspected() {
+		return false
+	}
+	_, held := x.d.Quarantine.Holds(x.print())
+	return held
 }
 
 // careful tells whether the request has crashed upstreams more than once.
 func (x *exchange) careful() bool {
-	return x.decision.Suspect.Crashes >= patientCrashes
+	return x.decision.Suspect.Careful()
 }
 
 // placeKey is what the request's upstreams are chosen by. A suspect goes by what it is, away
--- a/internal/request/quarantiner/quarantiner.go
+++ b/internal/request/quarantiner/quarantiner.go
@@ -100,6 +100,18 @@
 	return q.hold(r, s)
 }
 
+// Holds tells whether a request is in quarantine, and for how much longer.
+func (q *Quarantiner) Holds(f Fingerprint) (left timekeeper.Millis, held bool) {
+	q.lock.Lock()
+	defer q.lock.Unlock()
+	r := q.records[f]
+	if r == nil || !r.known.Quarantined() {
+		return 0, false
+	}
+	left = q.age(r).left()
+	return left, left > 0
+}
+
 // hold decides whether a request in quarantine is let through. The caller holds the lock.
 func (q *Quarantiner) hold(r *record, s Sighting) Sighting {
 	now := q.Clock.Now()
--- a/internal/request/quarantiner/quarantiner_test.go
+++ b/internal/request/quarantiner/quarantiner_test.go
@@ -232,3 +232,23 @@
 		quarantiner.Content{Method: "POST", Host: "a.example", Target: "/path/of/it", Body: body, Length: 4 << 10}.Fingerprint()
 	}
 }
+
+// TestTurn gives each of several daemons a turn, one at a time.
+func TestTurn(t *testing.T) {
+	is := is.New(t)
+	all := []string{"a", "b", "c", "d"}
+	turns := map[string]int{}
+	for over := timekeeper.Millis(0); over < 8*quarantiner.TrialTime; over += quarantiner.TrialTime / 2 {
+		whose := 0
+		for _, name := range all {
+			if quarantiner.Turn(deadly, over, name, all) {
+				turns[name]++
+				whose++
+			}
+		}
+		is.Equal(whose, 1)
+	}
+	for _, name := range all {
+		is.Equal(turns[name], 4)
+	}
+}
--- a/internal/request/quarantiner/suspect.go
+++ b/internal/request/quarantiner/suspect.go
@@ -6,6 +6,10 @@
 )
 
 const (
+	// carefulCrashes is from how many runs in a row on a request is treated with care. The
+	// first crash is mostly that of an innocent request, which is served best by a repeat.
+	carefulCrashes = 2
+
 	// maxCrashes is how many runs in a row may end their upstreams before a request is in
 	// quarantine.
 	maxCrashes = 3
@@ -42,6 +46,12 @@
 	return s.Crashes >= maxCrashes
 }
 
+// Careful tells whether the request is to be treated with care: it is not repeated without
+// its caller.
+func (s Suspect) Careful() bool {
+	return s.Crashes >= carefulCrashes
+}
+
 // newer tells whether s knows more than o of the same request.
 func (s Suspect) newer(o Suspect) bool {
 	if s.Clearings != o.Clearings {
@@ -72,3 +82,21 @@
 	h := hasher.OfString(string(s.Fingerprint[:]))
 	return hasher.Mix(h, hasher.Hash(s.Clearings)<<32|hasher.Hash(s.Crashes))
 }
+
+// Turn tells whether it is a daemon's turn to let a request through whose quarantine has been
+// over for a time. All have their turns one after the other, in the order that the request
+// gives them.
+func Turn(f Fingerprint, over timekeeper.Millis, self string, all []string) bool {
+	if len(all) == 0 {
+		return true
+	}
+	request := hasher.OfString(string(f[:]))
+	own := hasher.Mix(request, hasher.OfString(self))
+	place := 0
+	for _, name := range all {
+		if hasher.Mix(request, hasher.OfString(name)) > own {
+			place++
+		}
+	}
+	return int(over/TrialTime)%len(all) == place
+}
