runner, forwarder, pooler: owners and entries keep a deadly request from upstreams as well

Cause: the owner told its entry "connection lost" of an upstream that had ended, the entry tried up to four upstreams, and neither remembered the request.

Change: the owner opens a connection after a lost one and tells "upstream ended" if it is refused; entries count, bar and clear by fingerprint as on the users' platform (service in place of the host, which is the entry's own address where a caller names the service; of a long body its first 16 KB and its length); an owner asks once more right before a call is sent that waited in line. Daemons tell each other over the links that stand and pass on what is news to them; the one that found it out tells one member of each other region; a new link begins with all that is known. A finder does not repeat what came with a time to come back, also if it may have run.

The state is not saved here: a fleet that is lost whole starts anew.

--- a/internal/connection/framer/frame.go
+++ b/internal/connection/framer/frame.go
@@ -42,6 +42,7 @@
 	KindResponse
 	KindChunk
 	KindEnd
+	KindSuspects
 )
 
 // ErrTooLong reports a frame beyond MaxFrameBytes.
--- a/internal/connection/linker/manager.go
+++ b/internal/connection/linker/manager.go
@@ -185,6 +185,26 @@
 	return out
 }
 
+// Broadcast writes a control frame on all links that stand, but for one.
+func (m *Manager) Broadcast(k framer.Kind, msg proto.Message, except *Session) {
+	m.lock.Lock()
+	var to []*Session
+	for s := range m.accepted {
+		to = append(to, s)
+	}
+	for _, p := range m.peers {
+		if s := p.session.Load(); s != nil {
+			to = append(to, s)
+		}
+	}
+	m.lock.Unlock()
+	for _, s := range to {
+		if s != except {
+			m.send(s, k, msg)
+		}
+	}
+}
+
 // Fetch asks the daemon at an address, whoever it is, for the relayed objects
 // behind a revision. It hands batches to take until that returns false.
 func (m *Manager) Fetch(ctx context.Context, address string, since storer.Revision, take func(storer.Batch) bool,
--- a/internal/connection/pooler/outlier.go
+++ b/internal/connection/pooler/outlier.go
@@ -55,5 +55,6 @@
 // isFailure tells whether a request ended as one that says something about its
 // upstream.
 func isFailure(r exchanger.Result, status int) bool {
-	return r.Reason == exchanger.ReasonUpstreamLost || status >= http.StatusInternalServerError
+	lost := r.Reason == exchanger.ReasonUpstreamLost || r.Reason == exchanger.ReasonUpstreamEnded
+	return lost || status >= http.StatusInternalServerError
 }
--- a/internal/connection/pooler/owner.go
+++ b/internal/connection/pooler/owner.go
@@ -29,6 +29,9 @@
 		Upstreams []string
 	}
 
+	// Admission tells right before a call is sent whether it may not go, and its result then.
+	Admission func(*exchanger.Call) (exchanger.Result, bool)
+
 	// Owner holds the pools of one daemon. The zero value owns nothing.
 	Owner struct {
 		Clock timekeeper.Clock
@@ -38,6 +41,8 @@
 		// Valid tells whether this daemon may send to upstreams. Nil means
 		// always.
 		Valid func() bool
+		// Admit is asked right before a call is sent. Nil admits all.
+		Admit Admission
 		// Changed is called when the free slots of a pool changed. It must not
 		// block. Nil means nobody wants to know.
 		Changed func(Key)
@@ -193,7 +198,7 @@
 	if p == nil {
 		return exchanger.Refused(exchanger.ReasonNotOwner, 0)
 	}
-	return p.Run(ctx, c, o.valid)
+	return p.Run(ctx, c, o.valid, o.admit)
 }
 
 // KeyOf is the key of the pool that a call needs a slot of.
@@ -231,6 +236,13 @@
 	return o.Valid == nil || o.Valid()
 }
 
+func (o *Owner) admit(c *exchanger.Call) (exchanger.Result, bool) {
+	if o.Admit == nil {
+		return exchanger.Result{}, false
+	}
+	return o.Admit(c)
+}
+
 func (o *Owner) changed(k Key) {
 	if o.Changed != nil {
 		o.Changed(k)
@@ -301,6 +313,13 @@
 	o.changed(k)
 }
 
+// leaves tells whether u was to end anyway.
+func (p *Pool) leaves(u *upstream) bool {
+	p.lock.Lock()
+	defer p.lock.Unlock()
+	return u.leaving || u.listed || u.removed
+}
+
 // markDown takes u out of use until its back-off ends.
 func (p *Pool) markDown(u *upstream) {
 	p.lock.Lock()
--- a/internal/connection/pooler/send.go
+++ b/internal/connection/pooler/send.go
@@ -3,12 +3,14 @@
 import (
 	"bytes"
 	"context"
+	"errors"
 	"io"
 	"net/http"
 	"net/http/httptrace"
 	"net/url"
 	"strings"
 	"sync/atomic"
+	"syscall"
 
 	"github.com/gullvale/gullvale/internal/connection/framer"
 	"github.com/gullvale/gullvale/internal/request/exchanger"
@@ -50,8 +52,8 @@
 }
 
 // Run runs a call on an upstream of the pool. valid is asked right before
-// sending whether this daemon may still send.
-func (p *Pool) Run(ctx context.Context, c *exchanger.Call, valid func() bool) exchanger.Result {
+// sending whether this daemon may still send, and admit whether the call may go.
+func (p *Pool) Run(ctx context.Context, c *exchanger.Call, valid func() bool, admit Admission) exchanger.Result {
 	u, refused := p.acquire(ctx, c.Deadline, c.Detour)
 	if u == nil {
 		return refused
@@ -61,6 +63,9 @@
 	if !valid() {
 		return exchanger.Refused(exchanger.ReasonPaused, 0)
 	}
+	if r, refused := admit(c); refused {
+		return r
+	}
 	if c.Admitted != nil {
 		c.Admitted()
 	}
@@ -100,7 +105,7 @@
 		r.Upstream = a.up.address
 		return r
 	}
-	return a.answer(p)
+	return a.answer(ctx, p)
 }
 
 func (a *attempt) request(ctx context.Context) (*http.Request, error) {
@@ -170,7 +175,24 @@
 		r.Upstream = a.up.address
 		return r
 	}
-	return exchanger.Lost(exchanger.ReasonUpstreamLost, a.up.address)
+	return exchanger.Lost(a.lost(ctx), a.up.address)
+}
+
+// lost tells, by a new connection, whether the upstream ended that closed one under the call.
+// Upstreams also reset connections and close idle ones.
+func (a *attempt) lost(ctx context.Context) exchanger.Reason {
+	ctx, cancel := context.WithTimeout(ctx, checkTime.Duration())
+	defer cancel()
+	c, err := a.pool.dial(ctx, a.up.address)
+	if err == nil {
+		_ = c.Close()
+		return exchanger.ReasonUpstreamLost
+	}
+	if !errors.Is(err, syscall.ECONNREFUSED) || a.pool.leaves(a.up) {
+		return exchanger.ReasonUpstreamLost
+	}
+	a.pool.markDown(a.up)
+	return exchanger.ReasonUpstreamEnded
 }
 
 func (a *attempt) interrupted() exchanger.Result {
@@ -190,7 +212,7 @@
 	a.pool.observe(a.up, leaving, p.StatusCode < http.StatusInternalServerError)
 }
 
-func (a *attempt) answer(p *http.Response) exchanger.Result {
+func (a *attempt) answer(ctx context.Context, p *http.Response) exchanger.Result {
 	r := exchanger.Result{Outcome: exchanger.Answered, Upstream: a.up.address}
 	head := exchanger.Answer{
 		Status:   p.StatusCode,
@@ -202,7 +224,7 @@
 		r.Reason = exchanger.ReasonCancelled
 		return r
 	}
-	r.Reason = a.copyBody(p.Body)
+	r.Reason = a.copyBody(ctx, p.Body)
 	r.Whole = r.Reason == exchanger.ReasonNone
 	if r.Whole && len(p.Trailer) > 0 && a.call.Trailer != nil {
 		a.call.Trailer(p.Trailer)
@@ -210,7 +232,7 @@
 	return r
 }
 
-func (a *attempt) copyBody(body io.Reader) exchanger.Reason {
+func (a *attempt) copyBody(ctx context.Context, body io.Reader) exchanger.Reason {
 	b := chunks.Get().(*[framer.ChunkBytes]byte)
 	defer chunks.Put(b)
 	for {
@@ -223,8 +245,11 @@
 		if err == io.EOF {
 			return exchanger.ReasonNone
 		}
-		if err != nil {
+		if err != nil && ctx.Err() != nil {
 			return exchanger.ReasonUpstreamLost
 		}
+		if err != nil {
+			return a.lost(ctx)
+		}
 	}
 }
--- a/internal/connection/pooler/transport.go
+++ b/internal/connection/pooler/transport.go
@@ -12,6 +12,10 @@
 	idleTimeout = 60 * timekeeper.Second
 	dialTimeout = 2 * timekeeper.Second
 
+	// checkTime bounds the opening of a connection that tells whether an upstream ended: owners
+	// are near their upstreams.
+	checkTime = 100 * timekeeper.Millis(1)
+
 	// spareConns is how many connections for requests an upstream may have beyond
 	// its slots. With one, a dial that hangs (a lost SYN is sent again after 1 s)
 	// holds no slot up once its request was given another connection
--- a/internal/process/runner/control.go
+++ b/internal/process/runner/control.go
@@ -81,6 +81,12 @@
 			return err
 		}
 		d.claimer.Answered(&m)
+	case framer.KindSuspects:
+		var m framer.Suspects
+		if err := f.Decode(&m); err != nil {
+			return err
+		}
+		return d.suspectsHeard(s, &m)
 	}
 	// Frames of kinds unknown here come from a later version and are left out.
 	return nil
@@ -158,8 +164,12 @@
 	return d.leader.Hear(d.Self(), nil, h)
 }
 
-// welcome tells a new link what is free here.
+// welcome tells a new link what is free here, and of the requests that crash upstreams.
 func (d *Daemon) welcome(s *linker.Session) {
+	if err := s.Send(framer.KindSuspects, suspectsFrame(d.quarantine.All(), true)); err != nil {
+		s.Close()
+		return
+	}
 	for k := range d.owner.Pools() {
 		free, slots := d.owner.Free(k)
 		d.links.Tell(s, k, free, slots)
--- a/internal/process/runner/daemon.go
+++ b/internal/process/runner/daemon.go
@@ -31,6 +31,7 @@
 	"github.com/gullvale/gullvale/internal/request/forwarder"
 	"github.com/gullvale/gullvale/internal/request/keykeeper"
 	"github.com/gullvale/gullvale/internal/request/looker"
+	"github.com/gullvale/gullvale/internal/request/quarantiner"
 	"github.com/gullvale/gullvale/internal/version/applier"
 	"github.com/gullvale/gullvale/internal/version/replicator"
 	"github.com/gullvale/gullvale/internal/version/resolver"
@@ -125,6 +126,10 @@
 		measured timekeeper.Millis
 		reported map[pooler.Key]int
 		suspects suspects
+		// quarantine knows requests that crash upstreams, found holds what is to be told of
+		// them.
+		quarantine *quarantiner.Quarantiner
+		found      chan quarantiner.Change
 
 		stopped sync.Once
 	}
@@ -271,6 +276,7 @@
 		Shun:     d.shunsLead,
 	}
 	d.owner.Valid = d.joiner.Valid
+	d.quarantine = d.newQuarantine()
 	d.forwarder = &forwarder.Forwarder{
 		Base:     d.base,
 		Clock:    d.clock,
@@ -282,8 +288,10 @@
 		Leaving:  d.leaving.Load,
 		Keys:     &keykeeper.Keeper{Clock: d.clock, Retention: d.keyRetention},
 
+		Quarantine:   d.quarantine,
 		MostInFlight: d.config.MostInFlight,
 	}
+	d.owner.Admit = d.forwarder.Admit
 	d.links.Serve = d.forwarder.RunLinked
 	d.links.FreeOf = d.owner.Free
 	d.links.Pace = d.pace
@@ -345,6 +353,7 @@
 	go d.loopTidy(d.base)
 	go d.loopGauges(d.base)
 	go d.loopSuspect(d.base)
+	go d.loopSuspects(d.base)
 }
 
 func (d *Daemon) serve() error {
--- a/internal/request/forwarder/forwarder.go
+++ b/internal/request/forwarder/forwarder.go
@@ -15,6 +15,7 @@
 	"github.com/gullvale/gullvale/internal/process/measurer"
 	"github.com/gullvale/gullvale/internal/request/exchanger"
 	"github.com/gullvale/gullvale/internal/request/keykeeper"
+	"github.com/gullvale/gullvale/internal/request/quarantiner"
 	"github.com/gullvale/gullvale/internal/version/locator"
 	"github.com/gullvale/gullvale/internal/version/resolver"
 	"github.com/gullvale/gullvale/internal/version/steerer"
@@ -39,6 +40,9 @@
 		Meter    *measurer.Meter
 		// Leaving tells that callers should not keep their connections.
 		Leaving func() bool
+		// Quarantine knows requests that crash their upstreams. Nil means that none is kept
+		// from them.
+		Quarantine *quarantiner.Quarantiner
 		// Keys remembers the requests that carry a key.
 		Keys *keykeeper.Keeper
 		// MostInFlight is how many requests may be here at once; 0 means
--- a/internal/request/forwarder/route.go
+++ b/internal/request/forwarder/route.go
@@ -7,6 +7,7 @@
 	"github.com/gullvale/gullvale/internal/connection/linker"
 	"github.com/gullvale/gullvale/internal/connection/pooler"
 	"github.com/gullvale/gullvale/internal/request/exchanger"
+	"github.com/gullvale/gullvale/internal/request/quarantiner"
 	"github.com/gullvale/gullvale/internal/version/steerer"
 	"github.com/gullvale/gullvale/pkg/registrar"
 	"github.com/gullvale/gullvale/pkg/timekeeper"
@@ -35,7 +36,11 @@
 	b := f.budgets.of(c.Service)
 	t.tried = map[registrar.Incarnation]bool{}
 	for n := 1; ; n++ {
+		if r, barred := f.barred(t); barred {
+			return r
+		}
 		r := f.once(ctx, t)
+		f.judge(t, r)
 		t.mayHaveRun = t.mayHaveRun || r.Outcome == exchanger.Unknown
 		if n == maxTries || !t.again(r) || f.late(c) || ctx.Err() != nil {
 			return r
@@ -57,6 +62,17 @@
 	tried      map[registrar.Incarnation]bool
 	// mayHaveRun is that a try ended without telling.
 	mayHaveRun bool
+
+	// status is that of the answer, 0 for none.
+	status int
+	// body is a long body, nil if there is none.
+	body *beginning
+	// fingerprint stands for the call once it was asked for, sighting is what was known of it
+	// as a suspect before its latest try, and careful tells that it has crashed upstreams more
+	// than once.
+	fingerprint *quarantiner.Fingerprint
+	sighting    quarantiner.Sighting
+	careful     bool
 }
 
 // truth returns the result of all tries from that of the last: when it did not run,
@@ -70,9 +86,13 @@
 
 // hook notes how far the call gets.
 func (t *try) hook() {
+	if t.call.Body != nil {
+		t.body = &beginning{body: t.call.Body}
+		t.call.Body = t.body
+	}
 	start := t.call.Start
 	t.call.Start = func(a exchanger.Answer) error {
-		t.started = true
+		t.started, t.status = true, a.Status
 		return start(a)
 	}
 	admitted := t.call.Admitted
@@ -94,7 +114,7 @@
 	case exchanger.NotRun:
 		return elsewhere(r.Reason)
 	case exchanger.Unknown:
-		return t.idempotent
+		return t.idempotent && !t.careful
 	}
 	return false
 }
--- a/pkg/finder/send.go
+++ b/pkg/finder/send.go
@@ -110,12 +110,12 @@
 // again tells whether a request may be sent once more now. An entry that names
 // a time to come back is obeyed by whoever called, not here.
 func (f *Finder) again(r Request, p Response, end timekeeper.Millis) bool {
-	if end > 0 && f.Clock.Now() >= end {
+	if end > 0 && f.Clock.Now() >= end || p.RetryAfter > 0 {
 		return false
 	}
 	switch p.Outcome {
 	case NotRun:
-		return p.RetryAfter == 0 && (p.Status == 0 || p.Status == http.StatusServiceUnavailable)
+		return p.Status == 0 || p.Status == http.StatusServiceUnavailable
 	case Unknown:
 		// With a key it is safe to ask again: its home knows, or says that
 		// nobody does. Once an entry has said so, that is that.
--- a/test/deadly_test.go
+++ b/test/deadly_test.go
@@ -118,7 +118,7 @@
 
 // press sends a request again and again round the daemons, and returns how often each
 // outcome came back.
-func press(method, target string, length time.Duration, all ...*daemon) map[string]int {
+func press(method, target, body string, length time.Duration, all ...*daemon) map[string]int {
 	var lock sync.Mutex
 	var asked sync.WaitGroup
 	outcomes := map[string]int{}
@@ -128,7 +128,7 @@
 		<-tick.C
 		asked.Go(func() {
 			outcome := "no answer"
-			p, err := all[i%len(all)].send(context.Background(), method, "keg-ledger", target, http.NoBody)
+			p, err := all[i%len(all)].send(context.Background(), method, "keg-ledger", target, strings.NewReader(body))
 			if err == nil {
 				outcome = fmt.Sprint(p.StatusCode, " ", p.Header.Get("Gullvale-Outcome"), " ", p.Header.Get("Gullvale-Reason"))
 				p.Body.Close()
@@ -165,15 +165,26 @@
 // one, up to four times; neither remembered the request when it came again. The same fault as on
 // the users' platform, found there by an incident in which 18 upstreams ended one after another.
 func TestDeadlyRequestIsStoppedAtOwners(t *testing.T) {
-	for _, method := range []string{http.MethodGet, http.MethodPost} {
-		t.Run(method, func(t *testing.T) {
+	long := strings.Repeat("long", 10_000)
+	for _, x := range []struct{ name, method, body string }{
+		{"GET", http.MethodGet, ""},
+		{"POST", http.MethodPost, ""},
+		{"PUT of a long body", http.MethodPut, long},
+	} {
+		t.Run(x.name, func(t *testing.T) {
 			is := is.New(t)
 			m, all := startMortalFleet(t)
-			outcomes := press(method, "/deadly", 8*time.Second, all...)
+			outcomes := press(x.method, "/deadly", x.body, 8*time.Second, all...)
 			late, ended := m.late()
 			t.Log(ended, "upstreams ended; answers:", outcomes)
 			is.True(ended >= lateRetries)
 			is.True(late <= lateRetries) // sent on although all daemons had to know
+			for i, d := range all {
+				p, err := d.send(context.Background(), x.method, "keg-ledger", fmt.Sprint("/other-", i), strings.NewReader(x.body))
+				is.NoErr(err)
+				p.Body.Close()
+				is.Equal(p.StatusCode, http.StatusOK) // another request
+			}
 		})
 	}
 }
