--- a/internal/process/explainer/explain.go
+++ b/internal/process/explainer/explain.go
@@ -29,6 +29,8 @@
 		Store *Line
 		// Others counts how other requests ended at the upstream at that time.
 		Others []Count
+		// Evidence is what any VM had written about the request by its fingerprint.
+		Evidence []*Line
 		// Cause says in words what the reason means.
 		Cause string
 	}
@@ -63,6 +65,8 @@
 	{"down", "the key's upstream was not reached lately"},
 	{"gone", "no upstream of the service takes work: see what leaves and what is evacuated"},
 	{"retry budget used up", "no more repeats were allowed at that time"},
+	{"quarantined", "three upstreams in a row ended under this request: it is kept from upstreams until it is tried again or an operator lifts it"},
+	{"suspected", "more than one upstream in a row ended under this request: it is not sent again unless its caller comes back"},
 	{"attempts used up", "the route allows no more attempts"},
 	{"may have run", "a request of this kind must not be sent again once it may have run"},
 	{"no time left", "the rest of its time was too short for another sending"},
@@ -96,6 +100,7 @@
 		}
 	}
 	t.Others = l.others(n)
+	t.Evidence = l.evidence(n)
 	return t
 }
 
--- a/internal/process/explainer/line.go
+++ b/internal/process/explainer/line.go
@@ -23,6 +23,9 @@
 	msgUpstreams     = "upstreams"
 	msgStoreLost     = "store lost"
 	msgStoreRegained = "store regained"
+	msgLost          = "connection lost"
+	msgQuarantined   = "request quarantined"
+	msgReleased      = "request released"
 )
 
 type (
@@ -61,6 +64,14 @@
 		Waited    float64 `json:"waited"`
 		SentAfter float64 `json:"sentAfter"`
 
+		// Fingerprint stands for the request in all its repeats, Crashes is how many upstreams
+		// in a row ended under it, and Seen how many milliseconds before the last one did.
+		// Ending is what became of an upstream that closed a connection.
+		Fingerprint string  `json:"fingerprint"`
+		Crashes     uint32  `json:"crashes"`
+		Seen        float64 `json:"seen"`
+		Ending      string  `json:"ending"`
+
 		Version uint64  `json:"version"`
 		Leaving bool    `json:"leaving"`
 		ColdFor float64 `json:"coldFor"`
--- a/internal/process/explainer/placement.go
+++ b/internal/process/explainer/placement.go
@@ -19,6 +19,7 @@
 	assigner.Visiting:      "the key's home was passed over for this request, being down, failing or cold, and stays its home",
 	assigner.Repeated:      "it was sent there after another upstream had refused it or broken it off",
 	assigner.RepeatedThere: "it was sent there once more after it had been refused there",
+	assigner.Isolated:      "upstreams had ended under it before: it went by its own hash, away from the requests of its key",
 	assigner.Keyless:       "it has no key that is kept to a home: it went by its hash",
 }
 
--- a/internal/process/explainer/text.go
+++ b/internal/process/explainer/text.go
@@ -22,6 +22,7 @@
 	if t.Cause != "" {
 		say("%s", t.Cause)
 	}
+	t.writeSuspect(say)
 	if q.Route != "" {
 		say("route %s of service %s, %s", q.Route, q.Service, q.Class)
 	}
--- a/internal/process/fronter/fronter.go
+++ b/internal/process/fronter/fronter.go
@@ -366,6 +366,9 @@
 func (f *Fronter) metricsHandler() http.Handler {
 	m := http.NewServeMux()
 	m.Handle(f.options.MetricsPath, f.Meter.Handler())
+	if f.options.Quarantine != nil {
+		f.options.Quarantine.Handle(m)
+	}
 	return m
 }
 
--- a/internal/process/operator/server.go
+++ b/internal/process/operator/server.go
@@ -20,6 +20,7 @@
 	"github.com/gullvale/gullvale/internal/connection/router"
 	"github.com/gullvale/gullvale/internal/process/changer"
 	"github.com/gullvale/gullvale/internal/process/configurer"
+	"github.com/gullvale/gullvale/internal/request/quarantiner"
 	"github.com/gullvale/gullvale/internal/version/applier"
 	"github.com/gullvale/gullvale/internal/version/locator"
 	"github.com/gullvale/gullvale/internal/version/parser"
@@ -49,7 +50,9 @@
 		InForce func(context.Context, recorder.Number) (InForceAnswer, error)
 		// Healthy tells whether the daemon takes new work, and if not, why.
 		Healthy func() (bool, string)
-		Metrics http.Handler
+		// Quarantine knows requests that crash upstreams.
+		Quarantine *quarantiner.Quarantiner
+		Metrics    http.Handler
 		// Lookup answers look-ups for operators who want to see them.
 		Lookup http.Handler
 	}
@@ -82,6 +85,8 @@
 			s.route(http.MethodGet, PathInForce, view, s.inForce),
 			s.route(http.MethodGet, PathStatus, view, s.status),
 			s.route(http.MethodGet, PathOutlook, view, s.outlook),
+			s.route(http.MethodGet, quarantiner.PathList, view, s.quarantined),
+			s.route(http.MethodPost, quarantiner.PathLift, steer, s.lift),
 			s.route(http.MethodPost, PathChange, steer, s.change),
 			s.route(http.MethodPost, PathBlocks, configurer.RoleAdminister, s.blocks),
 			{Method: http.MethodGet, Path: PathPage, Handler: servePage},
@@ -186,6 +191,18 @@
 	return s.Outlook(ctx)
 }
 
+func (s *Server) quarantined(context.Context, who, *http.Request) (any, error) {
+	return s.Quarantine.List(), nil
+}
+
+func (s *Server) lift(_ context.Context, _ who, r *http.Request) (any, error) {
+	l, err := s.Quarantine.Lift(r.URL.Query().Get(quarantiner.FieldFingerprint))
+	if err != nil {
+		return nil, inputError{err.Error()}
+	}
+	return l, nil
+}
+
 func (s *Server) change(ctx context.Context, o who, r *http.Request) (any, error) {
 	var q ChangeRequest
 	if err := json.NewDecoder(r.Body).Decode(&q); err != nil {
--- a/internal/process/runner/daemon.go
+++ b/internal/process/runner/daemon.go
@@ -419,17 +419,18 @@
 
 func (d *Daemon) operatorsHandler() (http.Handler, error) {
 	s := &operator.Server{
-		Tokens:  d.config.Tokens,
-		Store:   d.store,
-		Log:     d.records,
-		Applier: d.applier,
-		Changer: d.changer,
-		Status:  d.Status,
-		Outlook: d.outlook,
-		InForce: d.inForce,
-		Healthy: d.healthy,
-		Metrics: d.meter.Handler(),
-		Lookup:  d.looker,
+		Tokens:     d.config.Tokens,
+		Store:      d.store,
+		Log:        d.records,
+		Applier:    d.applier,
+		Changer:    d.changer,
+		Status:     d.Status,
+		Outlook:    d.outlook,
+		InForce:    d.inForce,
+		Healthy:    d.healthy,
+		Quarantine: d.quarantine,
+		Metrics:    d.meter.Handler(),
+		Lookup:     d.looker,
 	}
 	return s.Handler()
 }
--- a/internal/request/exchanger/exchange.go
+++ b/internal/request/exchanger/exchange.go
@@ -107,8 +107,10 @@
 		// Detour tells that the call's own site does not serve it; the one
 		// that it is sent to may refuse it to stay below its limit.
 		Detour bool
-		// Body is nil when there is none. It is read only after Admitted.
-		Body io.Reader
+		// Body is nil when there is none. It is read only after Admitted, unless BodyReady
+		// tells that it comes from the caller itself.
+		Body      io.Reader
+		BodyReady bool
 		// Short holds the whole body when it is short, so that a refused try
 		// costs no extra round trip; Body is nil then.
 		Short []byte
--- a/internal/request/forwarder/body.go
+++ b/internal/request/forwarder/body.go
@@ -31,7 +31,7 @@
 		c.Length = 0
 		return true
 	case r.ContentLength > shortBody:
-		c.Body = r.Body
+		c.Body, c.BodyReady = r.Body, true
 		return true
 	}
 	return x.readAhead(c, most)
@@ -54,6 +54,7 @@
 		c.Length = int64(len(head))
 		return true
 	}
+	c.BodyReady = true
 	c.Body = io.MultiReader(bytes.NewReader(head), &limitedBody{source: x.request.Body, left: most - int64(len(head))})
 	return true
 }
--- a/internal/request/forwarder/quarantine.go
+++ b/internal/request/forwarder/quarantine.go
@@ -17,6 +17,9 @@
 // recognised.
 type beginning struct {
 	body io.Reader
+	// ready tells that the body may be read before a slot is held: that of a call which came
+	// over a link arrives only after that.
+	ready bool
 
 	lock sync.Mutex
 	// kept is the first part, and unread what of it was read ahead.
@@ -26,20 +29,26 @@
 
 // Read keeps what it reads, up to shortBody bytes.
 func (b *beginning) Read(p []byte) (int, error) {
-	b.lock.Lock()
-	defer b.lock.Unlock()
-	if len(b.unread) > 0 {
-		n := copy(p, b.unread)
-		b.unread = b.unread[n:]
+	if n := b.takeUnread(p); n > 0 {
 		return n, nil
 	}
 	n, err := b.body.Read(p)
+	b.lock.Lock()
+	defer b.lock.Unlock()
 	if room := shortBody - len(b.kept); room > 0 {
 		b.kept = append(b.kept, p[:min(n, room)]...)
 	}
 	return n, err
 }
 
+func (b *beginning) takeUnread(p []byte) int {
+	b.lock.Lock()
+	defer b.lock.Unlock()
+	n := copy(p, b.unread)
+	b.unread = b.unread[n:]
+	return n
+}
+
 // Close tells the source of the body that nobody reads it any more.
 func (b *beginning) Close() error {
 	if c, ok := b.body.(io.Closer); ok {
@@ -51,22 +60,21 @@
 // ahead reads the first part before anybody else does. An error comes again with the next
 // read.
 func (b *beginning) ahead() {
-	b.lock.Lock()
-	defer b.lock.Unlock()
-	if len(b.kept) > 0 {
+	if _, whole := b.first(); whole || !b.ready {
 		return
 	}
-	b.kept = make([]byte, shortBody)
-	n, _ := io.ReadFull(b.body, b.kept)
-	b.kept = b.kept[:n]
-	b.unread = b.kept
+	head := make([]byte, shortBody)
+	n, _ := io.ReadFull(b.body, head)
+	b.lock.Lock()
+	defer b.lock.Unlock()
+	b.kept, b.unread = head[:n], head[:n]
 }
 
-// first returns what was kept.
-func (b *beginning) first() []byte {
+// first returns what was kept, and whether that is the whole first part.
+func (b *beginning) first() ([]byte, bool) {
 	b.lock.Lock()
 	defer b.lock.Unlock()
-	return bytes.Clone(b.kept)
+	return bytes.Clone(b.kept), len(b.kept) == shortBody
 }
 
 // fingerprint returns what stands for a call. The service counts in place of the host, which
@@ -83,18 +91,23 @@
 	}.Fingerprint()
 }
 
-// print returns what stands for the call of the try.
-func (t *try) print() quarantiner.Fingerprint {
+// print returns what stands for the call of the try, and reports false for a long body of which
+// too little was read to tell.
+func (t *try) print() (quarantiner.Fingerprint, bool) {
 	if t.fingerprint != nil {
-		return *t.fingerprint
+		return *t.fingerprint, true
 	}
 	body := t.call.Short
 	if t.body != nil {
-		body = t.body.first()
+		first, whole := t.body.first()
+		if !whole {
+			return quarantiner.Fingerprint{}, false
+		}
+		body = first
 	}
 	f := fingerprint(t.call, body)
 	t.fingerprint = &f
-	return f
+	return f, true
 }
 
 // suspected tells whether any request is a suspect now: nearly always none is.
@@ -110,19 +123,32 @@
 	if t.body != nil && !t.admitted {
 		t.body.ahead()
 	}
-	t.sighting = f.Quarantine.Look(t.print(), t.sighting)
+	known, ok := t.print()
+	if !ok {
+		return exchanger.Result{}, false
+	}
+	t.sighting = f.Quarantine.Look(known, t.sighting)
 	return exchanger.Refused(exchanger.ReasonQuarantined, t.sighting.After), t.sighting.Barred
 }
 
 // judge takes in what a run says of its call.
 func (f *Forwarder) judge(t *try, r exchanger.Result) {
+	if f.Quarantine == nil {
+		return
+	}
+	ended := r.Reason == exchanger.ReasonUpstreamEnded
+	innocent := r.Outcome == exchanger.Answered && r.Whole && t.status < http.StatusInternalServerError
+	if !ended && (!innocent || !f.Quarantine.Any()) {
+		return
+	}
+	known, ok := t.print()
 	switch {
-	case f.Quarantine == nil:
-	case r.Reason == exchanger.ReasonUpstreamEnded:
-		t.sighting.Fingerprint = t.print()
+	case !ok:
+	case ended:
+		t.sighting.Fingerprint = known
 		t.careful = f.Quarantine.Crashed(t.sighting).Careful()
-	case r.Outcome == exchanger.Answered && r.Whole && t.status < http.StatusInternalServerError && f.Quarantine.Any():
-		f.Quarantine.Answered(t.print())
+	default:
+		f.Quarantine.Answered(known)
 	}
 }
 
--- a/internal/request/forwarder/route.go
+++ b/internal/request/forwarder/route.go
@@ -87,7 +87,7 @@
 // hook notes how far the call gets.
 func (t *try) hook() {
 	if t.call.Body != nil {
-		t.body = &beginning{body: t.call.Body}
+		t.body = &beginning{body: t.call.Body, ready: t.call.BodyReady}
 		t.call.Body = t.body
 	}
 	start := t.call.Start
--- /dev/null
+++ b/internal/request/quarantiner/list_test.go
@@ -0,0 +1,48 @@
+package quarantiner_test
+
+import (
+	"encoding/json"
+	"net/http"
+	"net/http/httptest"
+	"testing"
+
+	"github.com/matryer/is"
+
+	"github.com/gullvale/gullvale/internal/request/quarantiner"
+	"github.com/gullvale/gullvale/pkg/timekeeper"
+)
+
+// TestOperatorsListAndLift has an operator see a request in quarantine and a suspect, and lift
+// the first.
+func TestOperatorsListAndLift(t *testing.T) {
+	is := is.New(t)
+	w := newWorld(2)
+	d := w.daemons[0]
+	d.crash(printOf(1))
+	for range 3 {
+		d.crash(deadly)
+	}
+	w.tell()
+	w.now += timekeeper.Minute
+	m := http.NewServeMux()
+	d.Handle(m)
+	ask := func(method, path string) *httptest.ResponseRecorder {
+		p := httptest.NewRecorder()
+		m.ServeHTTP(p, httptest.NewRequest(method, path, nil))
+		return p
+	}
+	var l quarantiner.Listing
+	is.NoErr(json.Unmarshal(ask(http.MethodGet, quarantiner.PathList).Body.Bytes(), &l))
+	is.Equal(l.Suspects, []quarantiner.Listed{
+		{Fingerprint: deadly.String(), Crashes: 3, Quarantined: true, AgeMillis: timekeeper.Minute, LeftMillis: 9 * timekeeper.Minute},
+		{Fingerprint: printOf(1).String(), Crashes: 1, AgeMillis: timekeeper.Minute},
+	})
+	lift := quarantiner.PathLift + "?" + quarantiner.FieldFingerprint + "="
+	is.Equal(ask(http.MethodPost, lift+"xyz").Code, http.StatusBadRequest)
+	is.Equal(ask(http.MethodPost, lift+printOf(9).String()).Code, http.StatusBadRequest)
+	is.Equal(ask(http.MethodPost, lift+deadly.String()).Code, http.StatusOK)
+	w.tell()
+	for _, d := range w.daemons {
+		is.True(!d.barred(deadly))
+	}
+}
--- a/test/deadly_test.go
+++ b/test/deadly_test.go
@@ -13,6 +13,8 @@
 	"time"
 
 	"github.com/matryer/is"
+
+	"github.com/gullvale/gullvale/internal/request/quarantiner"
 )
 
 const (
@@ -179,12 +181,23 @@
 			t.Log(ended, "upstreams ended; answers:", outcomes)
 			is.True(ended >= lateRetries)
 			is.True(late <= lateRetries) // sent on although all daemons had to know
+			var listed quarantiner.Listing
+			is.Equal(all[3].call(http.MethodGet, quarantiner.PathList, nil, &listed), http.StatusOK)
+			is.Equal(len(listed.Suspects), 1)
+			is.True(listed.Suspects[0].Quarantined)
 			for i, d := range all {
 				p, err := d.send(context.Background(), x.method, "keg-ledger", fmt.Sprint("/other-", i), strings.NewReader(x.body))
 				is.NoErr(err)
 				p.Body.Close()
 				is.Equal(p.StatusCode, http.StatusOK) // another request
 			}
+			lift := quarantiner.PathLift + "?" + quarantiner.FieldFingerprint + "=" + listed.Suspects[0].Fingerprint
+			is.Equal(all[0].call(http.MethodPost, lift, nil, nil), http.StatusOK)
+			for _, d := range all {
+				eventually(t, d.name+" has it lifted", func() bool {
+					return d.call(http.MethodGet, quarantiner.PathList, nil, &listed) == http.StatusOK && len(listed.Suspects) == 0
+				})
+			}
 		})
 	}
 }
