--- a/internal/request/dispatcher/quarantine.go
+++ b/internal/request/dispatcher/quarantine.go
@@ -8,9 +8,6 @@
 	"github.com/gullvale/gullvale/pkg/hasher"
 )
 
-// callerFields are the standard fields that say who asks.
-var callerFields = []string{"Authorization", "Cookie"}
-
 // print returns what stands for the request. It takes time in proportion to the body, so it
 // is asked for only once there is reason to.
 func (x *exchange) print() quarantiner.Fingerprint {
@@ -19,7 +16,7 @@
 	}
 	c := quarantiner.Content{
 		Method: x.r.Method, Host: x.r.Host, Target: x.r.RequestURI,
-		Caller: x.caller(), Body: x.short, Length: x.length,
+		Caller: quarantiner.Caller(x.r.Header, x.d.Fields.Callers...), Body: x.short, Length: x.length,
 	}
 	if x.stream != nil {
 		c.Body = x.beginning
@@ -29,16 +26,6 @@
 	return f
 }
 
-// caller returns the values of all fields that say who asks.
-func (x *exchange) caller() (all []string) {
-	for _, names := range [][]string{callerFields, x.d.Fields.Callers} {
-		for _, n := range names {
-			all = append(all, x.r.Header[http.CanonicalHeaderKey(n)]...)
-		}
-	}
-	return all
-}
-
 // suspect returns what was known of the request before its latest sending.
 func (x *exchange) suspect() quarantiner.Suspect {
 	x.sighting.Fingerprint = x.print()
--- a/internal/request/forwarder/quarantine.go
+++ b/internal/request/forwarder/quarantine.go
@@ -10,9 +10,6 @@
 	"github.com/gullvale/gullvale/internal/request/quarantiner"
 )
 
-// callerFields are the fields that say who asks.
-var callerFields = []string{"Authorization", "Cookie"}
-
 // beginning keeps the first part of a long body, as it passes, so that its request can be
 // recognised.
 type beginning struct {
@@ -81,13 +78,9 @@
 // is the entry's own address where a caller names the service. Of a long body its beginning
 // and its length count.
 func fingerprint(c *exchanger.Call, body []byte) quarantiner.Fingerprint {
-	var caller []string
-	for _, n := range callerFields {
-		caller = append(caller, c.Header[http.CanonicalHeaderKey(n)]...)
-	}
 	return quarantiner.Content{
 		Method: c.Method, Host: string(c.Service), Target: c.Target,
-		Caller: caller, Body: body, Length: c.Length,
+		Caller: quarantiner.Caller(c.Header), Body: body, Length: c.Length,
 	}.Fingerprint()
 }
 
--- a/internal/request/quarantiner/fingerprint.go
+++ b/internal/request/quarantiner/fingerprint.go
@@ -5,6 +5,7 @@
 	"encoding/hex"
 	"hash"
 	"io"
+	"net/http"
 	"strconv"
 	"strings"
 
@@ -33,6 +34,20 @@
 	}
 )
 
+// callerFields are the standard header fields that say who asks.
+var callerFields = []string{"Authorization", "Cookie"}
+
+// Caller returns the values of all fields of a header that say who asks: the standard ones and
+// those that are named.
+func Caller(h http.Header, more ...string) (values []string) {
+	for _, names := range [][]string{callerFields, more} {
+		for _, n := range names {
+			values = append(values, h[http.CanonicalHeaderKey(n)]...)
+		}
+	}
+	return values
+}
+
 // Fingerprint returns the fingerprint of the request.
 func (c Content) Fingerprint() (f Fingerprint) {
 	h := sha256.New()
