authenticator, dispatcher: whose a request is decides where it goes, and no key leaves the entry

Cause: no code read organisations from the configuration.

It is asked before each sending, so that a key that is taken away stops requests that wait or come again. 401 is true: while a change is known that has not been read it is 503. Route's and organisation's regions both bind; keys of objects are kept apart by the regions of their organisation, or a home would move with each request of the other. The organisation's rank goes before the route's. The fingerprint of a request takes the organisation in place of its key.

--- a/internal/process/fronter/fronter.go
+++ b/internal/process/fronter/fronter.go
@@ -430,6 +430,9 @@
 		"ms": int64(e.Took), "objective": int64(e.Objective), "waited": int64(e.Waited), "sentAfter": int64(e.SentAfter), "load": e.Load, "own": e.Own,
 		"placed": e.Placement.Kind(), "bytes": e.Bytes,
 	}
+	if e.Organisation != "" {
+		fields["organisation"] = e.Organisation
+	}
 	if e.Site != "" {
 		fields["distance"] = f.options.Site.Distance(e.Site)
 	}
--- a/internal/request/dispatcher/choose.go
+++ b/internal/request/dispatcher/choose.go
@@ -38,7 +38,7 @@
 			x.place(home)
 			return home, placer.Fit
 		}
-		list = x.d.Homes.Former(list, x.key, all, x.route.Allows)
+		list = x.d.Homes.Former(list, x.key, all, x.allowed)
 	}
 	list = x.candidates(list, all, x.allows)
 	var states [maxCandidates]placer.State
@@ -82,7 +82,7 @@
 
 // asked is what decides where the request's key may live.
 func (x *exchange) asked() assigner.Request {
-	return assigner.Request{Service: x.part, Route: x.route.Name, Objective: x.route.Objective, Allowed: x.route.Allows}
+	return assigner.Request{Service: x.part, Route: x.route.Name, Objective: x.route.Objective, Allowed: x.allowed}
 }
 
 // take notes what was known of an upstream when it was chosen.
@@ -129,9 +129,9 @@
 	return reachable
 }
 
-// allows tells whether the request may run at u by its route.
+// allows tells whether the request may run at u by its route and organisation.
 func (x *exchange) allows(u *cataloger.Upstream) bool {
-	return x.route.Allows(u.Site.Region())
+	return x.allowed(u.Site.Region())
 }
 
 // takes tells whether u is allowed, can be reached and is not too cold. It costs much more
@@ -183,8 +183,3 @@
 func (x *exchange) refusedWithRoom(u *cataloger.Upstream, s placer.State) bool {
 	return x.refusedBy == u.Incarnation() && !x.d.Without.Has(switcher.RefusedStay) && x.homed() && s.Reported < float64(s.Slots)
 }
-
-// urgent tells whether no request of the configuration goes before this one.
-func (x *exchange) urgent() bool {
-	return x.route.Rank <= x.config.Urgent(x.part)
-}
--- a/internal/request/dispatcher/dispatcher.go
+++ b/internal/request/dispatcher/dispatcher.go
@@ -11,6 +11,7 @@
 	"github.com/gullvale/gullvale/internal/request/assigner"
 	"github.com/gullvale/gullvale/internal/request/placer"
 	"github.com/gullvale/gullvale/internal/request/quarantiner"
+	"github.com/gullvale/gullvale/internal/version/authenticator"
 	"github.com/gullvale/gullvale/internal/version/cataloger"
 	"github.com/gullvale/gullvale/internal/version/matcher"
 	"github.com/gullvale/gullvale/pkg/registrar"
@@ -36,8 +37,10 @@
 		Proof string
 		// Load states running and waiting requests and slots.
 		Load string
-		// Callers say who asks, beside the standard fields for that.
-		Callers []string
+		// Credential is the API key of an organisation, which no upstream gets.
+		Credential string
+		// Organisation names whose request it is. Only the entry sets it.
+		Organisation string
 	}
 
 	// Warmth is asked about one more request to a cold upstream now.
@@ -98,7 +101,9 @@
 		Route   string
 		Service string
 		Class   string
-		Config  matcher.Version
+		// Organisation is whose request it was, "" if nobody's.
+		Organisation authenticator.Name
+		Config       matcher.Version
 		// Behind is for how long a change had been known of, maybe one of the
 		// configuration, that had not been read.
 		Behind  timekeeper.Millis
--- a/internal/request/dispatcher/exchange.go
+++ b/internal/request/dispatcher/exchange.go
@@ -10,6 +10,7 @@
 	"github.com/gullvale/gullvale/internal/request/assigner"
 	"github.com/gullvale/gullvale/internal/request/exchanger"
 	"github.com/gullvale/gullvale/internal/request/quarantiner"
+	"github.com/gullvale/gullvale/internal/version/authenticator"
 	"github.com/gullvale/gullvale/internal/version/cataloger"
 	"github.com/gullvale/gullvale/internal/version/matcher"
 	"github.com/gullvale/gullvale/internal/version/resolver"
@@ -77,6 +78,8 @@
 
 	config *matcher.Config
 	route  *matcher.Route
+	// organisation is whose request it is, nil if it need not say.
+	organisation *authenticator.Organisation
 	// part is the service that the route's weights give the request.
 	part resolver.ServiceName
 	key  hasher.Hash
@@ -168,6 +171,9 @@
 		x.deny(http.StatusNotFound, "no route")
 		return false
 	}
+	if !x.identify() {
+		return false
+	}
 	x.setKey()
 	x.part = x.route.Service(x.key)
 	x.decision.Route, x.decision.Service, x.decision.Class = x.route.Name, string(x.part), x.route.Kind.String()
@@ -189,7 +195,7 @@
 	if k == "" {
 		k = x.r.Header.Get(f.RequestID)
 	}
-	x.key = hasher.Mix(hasher.OfString(k), x.route.Hash())
+	x.key = x.bind(hasher.Mix(hasher.OfString(k), x.route.Hash()))
 }
 
 // headFits refuses a head that is longer than the configuration allows.
--- a/internal/request/dispatcher/quarantine.go
+++ b/internal/request/dispatcher/quarantine.go
@@ -16,7 +16,7 @@
 	}
 	c := quarantiner.Content{
 		Method: x.r.Method, Host: x.r.Host, Target: x.r.RequestURI,
-		Caller: quarantiner.Caller(x.r.Header, x.d.Fields.Callers...), Body: x.short, Length: x.length,
+		Caller: append(x.caller(), quarantiner.Caller(x.r.Header)...), Body: x.short, Length: x.length,
 	}
 	if x.stream != nil {
 		c.Body = x.beginning
--- a/internal/request/dispatcher/send.go
+++ b/internal/request/dispatcher/send.go
@@ -76,6 +76,7 @@
 	if f := x.d.Fields.Expected; f != "" {
 		h[f] = []string{string(u.ID)}
 	}
+	x.nameOrganisation(h)
 	q := &sender.Request{
 		Method:      x.r.Method,
 		Target:      x.r.RequestURI,
--- a/internal/request/quarantiner/fingerprint.go
+++ b/internal/request/quarantiner/fingerprint.go
@@ -37,13 +37,10 @@
 // callerFields are the standard header fields that say who asks.
 var callerFields = []string{"Authorization", "Cookie"}
 
-// Caller returns the values of all fields of a header that say who asks: the standard ones and
-// those that are named.
-func Caller(h http.Header, more ...string) (values []string) {
-	for _, names := range [][]string{callerFields, more} {
-		for _, n := range names {
-			values = append(values, h[http.CanonicalHeaderKey(n)]...)
-		}
+// Caller returns the values of the standard fields of a header that say who asks.
+func Caller(h http.Header) (values []string) {
+	for _, n := range callerFields {
+		values = append(values, h[http.CanonicalHeaderKey(n)]...)
 	}
 	return values
 }
--- a/internal/version/matcher/config.go
+++ b/internal/version/matcher/config.go
@@ -8,6 +8,7 @@
 
 	"github.com/rotisserie/eris"
 
+	"github.com/gullvale/gullvale/internal/version/authenticator"
 	"github.com/gullvale/gullvale/internal/version/resolver"
 	"github.com/gullvale/gullvale/pkg/hasher"
 	"github.com/gullvale/gullvale/pkg/timekeeper"
@@ -59,6 +60,8 @@
 		Regions []string
 		// Sticky tells that an upstream works faster on a key it ran lately.
 		Sticky bool
+		// Public tells that requests need not say whose they are.
+		Public bool
 
 		weights int
 		hash    hasher.Hash
@@ -84,15 +87,19 @@
 		IdleTimeout   timekeeper.Millis
 	}
 
-	// Config is one version of routes, services and limits.
+	// Config is one version of routes, services, limits and organisations.
 	Config struct {
 		Version  Version
 		Limits   Limits
 		Services map[resolver.ServiceName]Service
+		// Organisations are those that may send requests; nil means that anybody may.
+		Organisations *authenticator.Directory
 
 		hosts map[string][]*Route
 		// urgent is the most urgent rank of each service.
 		urgent map[resolver.ServiceName]Rank
+		// leading is the most urgent rank of an organisation.
+		leading authenticator.Rank
 	}
 )
 
@@ -138,6 +145,21 @@
 	return c.urgent[s]
 }
 
+// Leading returns the most urgent rank of an organisation.
+func (c *Config) Leading() authenticator.Rank {
+	return c.leading
+}
+
+// Admit makes the configuration one in which requests must say whose they are.
+func (c *Config) Admit(d *authenticator.Directory) {
+	c.Organisations = d
+	for i, o := range d.All() {
+		if i == 0 || o.Rank < c.leading {
+			c.leading = o.Rank
+		}
+	}
+}
+
 // Routes returns the number of routes.
 func (c *Config) Routes() int {
 	n := 0
