limiter: an organisation's limit holds over all daemons, and its parts follow its callers

Now the lead of a region counts in token buckets; daemons draw tokens from it, regions borrow from each other, daemons whose lead is silent draw from the leads of other regions, and one that hears nobody uses an equal part, later than the others count without it. A lead that is new begins with nothing. A sending that did not run leaves its token to the next one or gives it back. Over the limit: 429 at once, with another time for each caller; 503 where the use is not known.

--- a/internal/process/fronter/fronter.go
+++ b/internal/process/fronter/fronter.go
@@ -18,6 +18,7 @@
 	"github.com/gullvale/gullvale/internal/process/switcher"
 	"github.com/gullvale/gullvale/internal/request/assigner"
 	"github.com/gullvale/gullvale/internal/request/dispatcher"
+	"github.com/gullvale/gullvale/internal/request/limiter"
 	"github.com/gullvale/gullvale/internal/request/quarantiner"
 	"github.com/gullvale/gullvale/internal/version/cataloger"
 	"github.com/gullvale/gullvale/internal/version/matcher"
@@ -102,6 +103,8 @@
 		Homes *assigner.Assigner
 		// Quarantine knows requests that crash their upstreams.
 		Quarantine *quarantiner.Quarantiner
+		// Limits keeps organisations within their limits. Nil means that none is limited.
+		Limits *limiter.Limiter
 		// Without are the mechanisms that are off.
 		Without switcher.Set
 		// Changed is told that the entry became ready.
@@ -152,6 +155,7 @@
 		Homes:      o.Homes,
 		Ended:      o.Ended,
 		Quarantine: o.Quarantine,
+		Limits:     o.Limits,
 		Retries: &dispatcher.Retries{
 			Limits: f.retryLimits,
 		},
@@ -214,9 +218,7 @@
 	}
 	go f.loopSweep(ctx)
 	go f.loopMembers(ctx)
-	if f.options.Homes != nil {
-		go f.loopForget(ctx)
-	}
+	go f.loopForget(ctx)
 	return nil
 }
 
@@ -394,7 +396,17 @@
 }
 
 func (f *Fronter) loopForget(ctx context.Context) {
-	timekeeper.Every(ctx, forgetEvery, f.options.Homes.Forget)
+	timekeeper.Every(ctx, forgetEvery, f.forget)
+}
+
+// forget drops what is known of keys and organisations that nobody asks for.
+func (f *Fronter) forget() {
+	if f.options.Homes != nil {
+		f.options.Homes.Forget()
+	}
+	if f.options.Limits != nil {
+		f.options.Limits.Forget()
+	}
 }
 
 // mayLog tells whether one more line about a request may be written now, and counts those
--- a/internal/process/heartbeater/beater.go
+++ b/internal/process/heartbeater/beater.go
@@ -10,6 +10,7 @@
 	"google.golang.org/protobuf/proto"
 
 	"github.com/gullvale/gullvale/internal/request/assigner"
+	"github.com/gullvale/gullvale/internal/request/limiter"
 	"github.com/gullvale/gullvale/internal/request/quarantiner"
 	"github.com/gullvale/gullvale/internal/version/cataloger"
 	"github.com/gullvale/gullvale/pkg/hasher"
@@ -114,6 +115,9 @@
 		// know.
 		Quarantine *quarantiner.Quarantiner
 		Suspected  func([]quarantiner.Change)
+		// Limited is told of messages about limits, and who sent them. Nil means nobody wants
+		// to know.
+		Limited func(from string, m limiter.Message)
 		// Counted is told of the bytes of datagrams. Nil means that nobody wants to know.
 		Counted func(Traffic)
 		Clock   timekeeper.Clock
@@ -232,6 +236,9 @@
 	if d.Suspects != nil {
 		b.suspectsHeard(d.Suspects)
 	}
+	if d.Tokens != nil && b.Limited != nil {
+		b.Limited(from, limitMessage(d.Tokens))
+	}
 	if r := d.Relay; r != nil && b.Relayed != nil {
 		b.Relayed(Changes{Kind: r.Kind, From: r.From, To: r.To, Body: r.Changes, Omitted: r.Omitted})
 	}
--- a/internal/process/heartbeater/traffic.go
+++ b/internal/process/heartbeater/traffic.go
@@ -12,6 +12,7 @@
 	AskPurpose     Purpose = "ask"
 	EndedPurpose   Purpose = "ended"
 	SuspectPurpose Purpose = "suspects"
+	TokensPurpose  Purpose = "tokens"
 	UnknownPurpose Purpose = "unknown datagram"
 )
 
@@ -43,6 +44,8 @@
 		return EndedPurpose
 	case d.Suspects != nil:
 		return SuspectPurpose
+	case d.Tokens != nil:
+		return TokensPurpose
 	}
 	return UnknownPurpose
 }
--- a/internal/process/switcher/mechanisms.go
+++ b/internal/process/switcher/mechanisms.go
@@ -58,6 +58,9 @@
 	RelayedChanges
 	// Strength shares look-ups by what VMs can carry. Without it all VMs count alike.
 	Strength
+	// CountedLimits has leads count for organisations' limits. Without it each VM uses an
+	// equal part of them.
+	CountedLimits
 
 	mechanisms
 )
@@ -81,6 +84,7 @@
 	RequestsAhead:  "requests-ahead",
 	RelayedChanges: "relayed-changes",
 	Strength:       "strength",
+	CountedLimits:  "counted-limits",
 }
 
 type (
--- a/internal/request/dispatcher/answer.go
+++ b/internal/request/dispatcher/answer.go
@@ -47,7 +47,7 @@
 	failed := a.Status >= http.StatusInternalServerError
 	if failed && x.repeatFailure() {
 		t.Reached(true)
-		x.unknown = true
+		x.mayHaveRun()
 		x.decision.Reason = "upstream failed"
 		drain(a)
 		return false
@@ -72,7 +72,7 @@
 
 // broken handles an answer that must not be passed on.
 func (x *exchange) broken(t *tracker.Upstream, reason string) bool {
-	x.unknown = true
+	x.mayHaveRun()
 	if x.r.Context().Err() != nil {
 		return false
 	}
@@ -168,7 +168,7 @@
 		x.fail(http.StatusBadGateway, reason)
 		return
 	}
-	if status == http.StatusServiceUnavailable {
+	if status == http.StatusServiceUnavailable || status == http.StatusTooManyRequests {
 		x.w.Header().Set("Retry-After", seconds(after))
 	}
 	x.reply(status)
--- a/internal/request/dispatcher/dispatcher.go
+++ b/internal/request/dispatcher/dispatcher.go
@@ -9,6 +9,7 @@
 	"github.com/gullvale/gullvale/internal/process/measurer"
 	"github.com/gullvale/gullvale/internal/process/switcher"
 	"github.com/gullvale/gullvale/internal/request/assigner"
+	"github.com/gullvale/gullvale/internal/request/limiter"
 	"github.com/gullvale/gullvale/internal/request/placer"
 	"github.com/gullvale/gullvale/internal/request/quarantiner"
 	"github.com/gullvale/gullvale/internal/version/authenticator"
@@ -71,6 +72,8 @@
 		// Quarantine knows requests that crash their upstreams. Nil means that none is kept
 		// from them.
 		Quarantine *quarantiner.Quarantiner
+		// Limits keeps organisations within their limits. Nil means that none is limited.
+		Limits *limiter.Limiter
 		// Retries holds the budget of repeated sendings.
 		Retries *Retries
 		// LeavingAt returns when this process ends, 0 if it was not asked to.
--- a/internal/request/dispatcher/exchange.go
+++ b/internal/request/dispatcher/exchange.go
@@ -80,9 +80,13 @@
 	route  *matcher.Route
 	// organisation is whose request it is, nil if it need not say.
 	organisation *authenticator.Organisation
+	// token is the organisation of whose limit the request holds a token, nil for none.
+	token *authenticator.Organisation
 	// part is the service that the route's weights give the request.
 	part resolver.ServiceName
-	key  hasher.Hash
+	// key is what the request is placed by, and sharedKey the one that all organisations share.
+	key       hasher.Hash
+	sharedKey hasher.Hash
 
 	// until is when the request is given up, by the monotonic clock.
 	until timekeeper.Millis
@@ -117,6 +121,7 @@
 
 // record tells how the request ended.
 func (x *exchange) record() {
+	x.settleToken()
 	e := &x.decision
 	e.ID = x.r.Header.Get(x.d.Fields.RequestID)
 	e.Took = x.d.Clock.Now() - x.began
@@ -136,7 +141,7 @@
 	x.header = x.upstreamHeader()
 	x.d.Retries.Request(x.part)
 	for {
-		if x.barred() {
+		if x.barred() || !x.admit() {
 			return
 		}
 		u, verdict := x.choose()
@@ -195,7 +200,8 @@
 	if k == "" {
 		k = x.r.Header.Get(f.RequestID)
 	}
-	x.key = x.bind(hasher.Mix(hasher.OfString(k), x.route.Hash()))
+	x.key = hasher.Mix(hasher.OfString(k), x.route.Hash())
+	x.sharedKey = x.key
 }
 
 // headFits refuses a head that is longer than the configuration allows.
--- /dev/null
+++ b/internal/request/dispatcher/limit_test.go
@@ -0,0 +1,103 @@
+package dispatcher_test
+
+import (
+	"fmt"
+	"net/http"
+	"strconv"
+	"sync/atomic"
+	"testing"
+
+	"github.com/matryer/is"
+
+	"github.com/gullvale/gullvale/internal/request/limiter"
+	"github.com/gullvale/gullvale/internal/version/authenticator"
+	"github.com/gullvale/gullvale/internal/version/matcher"
+	"github.com/gullvale/gullvale/pkg/hasher"
+	"github.com/gullvale/gullvale/pkg/timekeeper"
+)
+
+// limited is a site with one organisation that may send 10 requests at once and one in
+// 100 s after that.
+func limited(t *testing.T, kind matcher.Kind) *site {
+	o := keyOf("a", "k")
+	o.Limit = authenticator.Limit{PerSecond: 0.01, Burst: 10}
+	s := organised(t, kind, o, keyOf("free", "f"))
+	now := timekeeper.Hour
+	s.Limits = limiter.New(limiter.Options{
+		Tolerance:    func() limiter.Tolerance { return limiter.Tolerance{Window: 5000} },
+		Census:       func() limiter.Census { return limiter.Census{Known: 1, Near: 1, Leads: true} },
+		Organisation: func(h hasher.Hash) *authenticator.Organisation { return s.Config().Organisations.Known(h) },
+		Send:         func(limiter.Envelope) {},
+		Clock:        timekeeper.Clock{Monotonic: func() timekeeper.Millis { return now }},
+	})
+	s.Limits.Observe()
+	now += timekeeper.Hour
+	return s
+}
+
+// TestOverLimit sends more than an organisation may: what is over is refused at once, and
+// told when to come back; others are served.
+func TestOverLimit(t *testing.T) {
+	is := is.New(t)
+	s := limited(t, matcher.Idempotent)
+	s.add(t, "u", good)
+	last := 0.0
+	for i := range 13 {
+		id := fmt.Sprint("a", i)
+		p, _ := s.ask(http.MethodGet, id, withKey("k"))
+		if i < 10 {
+			is.Equal(p.StatusCode, http.StatusOK)
+			continue
+		}
+		is.Equal(p.StatusCode, http.StatusTooManyRequests)
+		is.Equal(s.ran(id), 0)
+		after, err := strconv.ParseFloat(p.Header.Get("Retry-After"), 64)
+		is.NoErr(err)
+		is.True(after >= last)
+		last = after
+	}
+	p, _ := s.ask(http.MethodGet, "f", withKey("f"))
+	is.Equal(p.StatusCode, http.StatusOK)
+}
+
+// TestTokenOfWhatDidNotRunComesBack has an upstream refuse what it gets: that uses up
+// nothing of the limit. What may have run does.
+func TestTokenOfWhatDidNotRunComesBack(t *testing.T) {
+	tests := []struct {
+		name  string
+		kind  matcher.Kind
+		serve http.HandlerFunc
+		// served are how many of 10 requests are in the limit after 20 others.
+		served int
+	}{
+		{"refused", matcher.Once, sheds, 10},
+		{"lost", matcher.Once, breaks, 0},
+		{"failed", matcher.Once, fails, 0},
+		{"sent twice", matcher.Idempotent, breaks, 0},
+	}
+	for _, tt := range tests {
+		t.Run(tt.name, func(t *testing.T) {
+			is := is.New(t)
+			s := limited(t, tt.kind)
+			var sound atomic.Bool
+			s.add(t, "u", func(w http.ResponseWriter, r *http.Request) {
+				if !sound.Load() {
+					tt.serve(w, r)
+					return
+				}
+				good(w, r)
+			})
+			for i := range 20 {
+				s.ask(http.MethodPost, fmt.Sprint("before", i), withKey("k"))
+			}
+			sound.Store(true)
+			within := 0
+			for i := range 10 {
+				if p, _ := s.ask(http.MethodPost, fmt.Sprint("after", i), withKey("k")); p.StatusCode != http.StatusTooManyRequests {
+					within++
+				}
+			}
+			is.Equal(within, tt.served)
+		})
+	}
+}
--- a/internal/request/dispatcher/send.go
+++ b/internal/request/dispatcher/send.go
@@ -114,7 +114,7 @@
 
 // lost handles a request that was sent and got no answer.
 func (x *exchange) lost(u *cataloger.Upstream, t *tracker.Upstream, err error) bool {
-	x.unknown = true
+	x.mayHaveRun()
 	if x.r.Context().Err() != nil {
 		x.decision.Reason = "caller left"
 		return false
--- /dev/null
+++ b/internal/request/limiter/limits_test.go
@@ -0,0 +1,197 @@
+package limiter_test
+
+import (
+	"fmt"
+	"math"
+	"testing"
+
+	"github.com/matryer/is"
+
+	"github.com/gullvale/gullvale/internal/request/limiter"
+	"github.com/gullvale/gullvale/internal/version/authenticator"
+	"github.com/gullvale/gullvale/pkg/timekeeper"
+)
+
+// figures is what a load cost and broke.
+type figures struct {
+	asked, below int
+	// above is the most that any organisation was above what its limit tolerates.
+	above float64
+	// messages and bytes are by daemon and second.
+	messages, bytes float64
+}
+
+func (f *fleet) figures(length timekeeper.Millis) (g figures) {
+	g.above = math.Inf(-1)
+	for o := range f.all {
+		g.asked += len(f.counts[o].asked)
+		g.below += len(f.counts[o].below)
+		g.above = max(g.above, f.above(o))
+	}
+	per := float64(len(f.daemons)) * float64(length) / float64(second)
+	g.messages, g.bytes = float64(f.messages)/per, float64(f.bytes)/per
+	return g
+}
+
+// load plays 30 s: a hot organisation of each size for 6 s, callers who move to one region,
+// and daemons that are killed or cut off.
+func load(f *fleet, demands []float64, faults bool) figures {
+	const start, end = 8 * second, 38 * second
+	f.run(start)
+	for o, d := range demands {
+		f.press(o, d, end, nil)
+	}
+	for i, o := range []int{0, 10, 40} {
+		at := timekeeper.Millis(4+7*i) * second
+		f.after(at, func() { f.press(o, 7.5*demands[o], f.now+6*second, nil) })
+	}
+	f.after(2*second, func() { f.press(1, demands[1]/2, f.now+6*second, func(d int) bool { return f.region(d) == 0 }) })
+	if faults {
+		f.after(10*second, func() { f.each(0.3, f.cutOff, 5*second) })
+		f.after(20*second, func() { f.each(0.5, f.kill, 2*second) })
+		f.after(26*second, func() { f.kill(0) })
+		f.after(27*second, func() { f.back(0) })
+	}
+	f.run(end + second)
+	return f.figures(end - start)
+}
+
+// each does something to a part of the daemons, the leads of two regions among them, and
+// brings them back later.
+func (f *fleet) each(part float64, do func(int), later timekeeper.Millis) {
+	for d := range f.daemons {
+		if d < 2 || f.random.Float64() < part {
+			do(d)
+			f.after(later, func() { f.back(d) })
+		}
+	}
+}
+
+// ways are all that are compared.
+var ways = map[string]func(*fleet) way{
+	"counted":   func(f *fleet) way { return newCounted(f) },
+	"equal":     func(f *fleet) way { return newEqual(f) },
+	"following": func(f *fleet) way { return newFollowing(f) },
+}
+
+// BenchmarkWays reports what each way costs and breaks at three sizes, on the same seeds.
+func BenchmarkWays(b *testing.B) {
+	for _, n := range []int{10, 64, 300} {
+		for _, faults := range []bool{false, true} {
+			for _, name := range []string{"equal", "following", "counted"} {
+				b.Run(fmt.Sprint(name, "/VMs=", n, "/faults=", faults), func(b *testing.B) {
+					for b.Loop() {
+						report(b, name, n, faults)
+					}
+				})
+			}
+		}
+	}
+}
+
+func report(b *testing.B, name string, n int, faults bool) {
+	const seeds = 3
+	g := figures{above: math.Inf(-1)}
+	for seed := range uint64(seeds) {
+		all, demands := organisations(74, 31*float64(n))
+		f := newFleet(n, seed, all...)
+		f.way = ways[name](f)
+		one := load(f, demands, faults)
+		g.asked, g.below = g.asked+one.asked, g.below+one.below
+		g.above = max(g.above, one.above)
+		g.messages, g.bytes = g.messages+one.messages/seeds, g.bytes+one.bytes/seeds
+	}
+	b.ReportMetric(100*float64(g.below)/float64(g.asked), "%below")
+	b.ReportMetric(g.above, "above")
+	b.ReportMetric(g.messages, "messages/VM/s")
+	b.ReportMetric(g.bytes, "bytes/VM/s")
+}
+
+// TestWithinLimits plays loads with hot organisations and faults at three sizes: no
+// organisation is ever above what its limit tolerates, and without faults nearly none of the
+// requests within it is refused.
+func TestWithinLimits(t *testing.T) {
+	for _, n := range []int{2, 10, 64} {
+		for _, faults := range []bool{false, true} {
+			t.Run(fmt.Sprint(n, " VMs, faults ", faults), func(t *testing.T) {
+				is := is.New(t)
+				all, demands := organisations(74, 31*float64(n))
+				f := newFleet(n, 7, all...)
+				f.way = newCounted(f)
+				g := load(f, demands, faults)
+				is.True(g.above <= 0)
+				if !faults {
+					is.True(float64(g.below) <= 0.001*float64(g.asked))
+				}
+			})
+		}
+	}
+}
+
+// TestSmallLimits has organisations of one request a second, with and without a burst.
+func TestSmallLimits(t *testing.T) {
+	is := is.New(t)
+	all := prepared(
+		&authenticator.Organisation{Name: "one", Limit: authenticator.Limit{PerSecond: 1}},
+		&authenticator.Organisation{Name: "burst", Limit: authenticator.Limit{PerSecond: 1, Burst: 3}},
+		&authenticator.Organisation{Name: "free"},
+	)
+	f := newFleet(64, 3, all...)
+	f.way = newCounted(f)
+	f.run(8 * second)
+	for o := range all {
+		f.press(o, 20, 28*second, nil)
+	}
+	f.run(29 * second)
+	is.True(f.above(0) <= 0 && f.above(1) <= 0)
+	is.True(len(f.counts[0].admitted) >= 15) // of 20 in 20 s
+	is.Equal(len(f.counts[2].admitted), len(f.counts[2].asked))
+}
+
+// TestPartsFollowCallers has all callers of an organisation move to one region: after a
+// second nearly all of them are served there, though its own part is a third.
+func TestPartsFollowCallers(t *testing.T) {
+	is := is.New(t)
+	all := prepared(&authenticator.Organisation{Name: "o", Limit: authenticator.Limit{PerSecond: 160, Burst: 160}})
+	f := newFleet(64, 5, all...)
+	f.way = newCounted(f)
+	f.run(8 * second)
+	in := func(r int) func(int) bool { return func(d int) bool { return f.region(d) == r } }
+	f.press(0, 100, 13*second, in(1))
+	f.run(13 * second)
+	moved := f.now
+	f.press(0, 100, 20*second, in(2))
+	f.run(21 * second)
+	late := 0
+	for _, at := range f.counts[0].below {
+		if at > moved+second {
+			late++
+		}
+	}
+	is.True(len(f.counts[0].below) <= 10)
+	is.Equal(late, 0)
+}
+
+// TestRefusedTogetherComeBackApart has many requests refused at once: each is told another
+// time.
+func TestRefusedTogetherComeBackApart(t *testing.T) {
+	is := is.New(t)
+	all := prepared(&authenticator.Organisation{Name: "o", Limit: authenticator.Limit{PerSecond: 20, Burst: 2}})
+	core := limiter.Core{Tolerance: limiter.Tolerance{Window: 5 * second}}
+	core.Observe(0, limiter.Census{Known: 1, Near: 1, Leads: true})
+	seen := map[timekeeper.Millis]bool{}
+	admitted := 0
+	for range 20 {
+		var ticket limiter.Ticket
+		core.Take(10*second, all[0], &ticket)
+		if ticket.Verdict.Outcome == limiter.Admitted {
+			admitted++
+			continue
+		}
+		is.Equal(ticket.Verdict.Outcome, limiter.Over)
+		is.True(!seen[ticket.Verdict.After])
+		seen[ticket.Verdict.After] = true
+	}
+	is.Equal(admitted, 2)
+	is.True(seen[50] && seen[900]) // a token each 50 ms
+}
