assigner, dispatcher: an organisation with regions of its own uses the home that all share where it may

Now such an organisation uses the shared home unless that is where it must not go. Ruled out: moving the shared home to where it may go, since two organisations with other regions would move it with each request.

--- a/internal/request/assigner/assigner.go
+++ b/internal/request/assigner/assigner.go
@@ -106,6 +106,18 @@
 	return p
 }
 
+// Barred tells whether a key lives at an upstream in a region that is not allowed.
+func (a *Assigner) Barred(key hasher.Hash, all []*cataloger.Upstream, allowed func(region string) bool) bool {
+	a.lock.Lock()
+	defer a.lock.Unlock()
+	h := a.homes[key]
+	if h == nil {
+		return false
+	}
+	u := find(all, h.upstream, anyRegion)
+	return u != nil && !allowed(u.Site.Region())
+}
+
 // use counts a request of a key that has a home, at u if any takes it.
 func (a *Assigner) use(h *home, u *cataloger.Upstream, now timekeeper.Millis) {
 	w := a.unit(now)
--- a/internal/request/dispatcher/choose.go
+++ b/internal/request/dispatcher/choose.go
@@ -26,6 +26,7 @@
 	var space [maxCandidates]*cataloger.Upstream
 	list := space[:0]
 	if x.homed() {
+		x.bindKey(all)
 		home := x.home(all)
 		if home == nil {
 			return nil, placer.Gone
--- a/internal/request/dispatcher/identify.go
+++ b/internal/request/dispatcher/identify.go
@@ -4,6 +4,7 @@
 	"net/http"
 
 	"github.com/gullvale/gullvale/internal/version/authenticator"
+	"github.com/gullvale/gullvale/internal/version/cataloger"
 	"github.com/gullvale/gullvale/pkg/hasher"
 )
 
@@ -68,13 +69,14 @@
 	return x.route.Rank <= x.config.Urgent(x.part)
 }
 
-// bind keeps keys apart by the regions where their organisation may go: a home that one of
-// them must not use would move with each request of the other.
-func (x *exchange) bind(key hasher.Hash) hasher.Hash {
-	if b := x.organisation.Bound(); b != 0 {
-		return hasher.Mix(key, b)
+// bindKey gives the request's key a home of its own for organisations of the same regions if
+// the home that all share is where this one must not go: that home would move with each
+// request of the one or the other.
+func (x *exchange) bindKey(all []*cataloger.Upstream) {
+	x.key = x.sharedKey
+	if b := x.organisation.Bound(); b != 0 && x.d.Homes.Barred(x.key, all, x.allowed) {
+		x.key = hasher.Mix(x.key, b)
 	}
-	return key
 }
 
 // nameOrganisation tells the upstream whose request it is, whatever the caller sent.
