platform, dispatcher: keys that can't be confirmed stop to count where the platform asks for it

revoke-fail-closed and revoke-ms of the settings were not read. With the first set, a VM that has not known for longer than the second whether its configuration is the latest (neither the store nor the lead that it follows confirmed it, or a change is known and not read) refuses what needs a key with 503; routes without keys go on.

--- a/internal/process/fronter/fronter.go
+++ b/internal/process/fronter/fronter.go
@@ -95,7 +95,10 @@
 		// Behind returns for how long a change has been known of, maybe one of the
 		// configuration, that has not been read. Nil means never.
 		Behind func() timekeeper.Millis
-		Bounds func() Bounds
+		// Uncertain tells that keys may have been taken away without this member's knowledge
+		// for too long. Nil means never.
+		Uncertain func() bool
+		Bounds    func() Bounds
 		// Ended is told of an upstream at whose address another incarnation answers. Nil
 		// means nobody wants to know.
 		Ended func(cataloger.Incarnation)
@@ -146,6 +149,7 @@
 	f.dispatcher = &dispatcher.Dispatcher{
 		Config:     f.Config,
 		Behind:     o.Behind,
+		Uncertain:  o.Uncertain,
 		Catalog:    f.Catalog.Current,
 		Upstreams:  f.upstreams,
 		Fields:     o.Fields,
--- a/internal/process/heartbeater/lead.go
+++ b/internal/process/heartbeater/lead.go
@@ -2,6 +2,7 @@
 
 import (
 	"github.com/gullvale/gullvale/pkg/hasher"
+	"github.com/gullvale/gullvale/pkg/timekeeper"
 )
 
 // Leads tells whether this member leads its region.
@@ -34,6 +35,18 @@
 	return k != nil && k.Reaching && b.following(self) && b.Clock.Now()-k.fresh < freshFor
 }
 
+// Fresh returns how long ago the store answered the lead that this member follows, false if it
+// follows none.
+func (b *Beater) Fresh() (timekeeper.Millis, bool) {
+	self := b.Self()
+	b.lock.Lock()
+	defer b.lock.Unlock()
+	if !b.following(self) {
+		return 0, false
+	}
+	return b.Clock.Now() - b.lead(self).fresh, true
+}
+
 // following tells whether another member leads and says so. The caller holds the
 // lock.
 func (b *Beater) following(self Member) bool {
--- a/internal/request/dispatcher/dispatcher.go
+++ b/internal/request/dispatcher/dispatcher.go
@@ -54,7 +54,10 @@
 		Config func() *matcher.Config
 		// Behind returns for how long a change has been known of, maybe one of the
 		// configuration, that has not been read. Nil means never.
-		Behind    func() timekeeper.Millis
+		Behind func() timekeeper.Millis
+		// Uncertain tells that keys may have been taken away without this daemon's knowledge
+		// for too long, so that none of them counts. Nil means never.
+		Uncertain func() bool
 		Catalog   func() *cataloger.Snapshot
 		Upstreams *tracker.Set
 		Fields    Fields
--- a/internal/request/dispatcher/identify.go
+++ b/internal/request/dispatcher/identify.go
@@ -12,6 +12,7 @@
 const (
 	reasonUnknownKey = "unknown key"
 	reasonNoRegion   = "no region allowed"
+	reasonUncertain  = "keys unconfirmed"
 )
 
 // identify finds whose request it is by the configuration that resolve has found, and
@@ -28,6 +29,10 @@
 		x.refuse(http.StatusUnauthorized, string(flaw), 0)
 		return false
 	}
+	if x.d.Uncertain != nil && x.d.Uncertain() {
+		x.refuse(http.StatusServiceUnavailable, reasonUncertain, unknownRetryAfter)
+		return false
+	}
 	o := d.Holder(key)
 	if o == nil {
 		x.deny(http.StatusUnauthorized, reasonUnknownKey)
