heartbeater: who counts for limits does not hang on who reaches the store

Cause, from the log of all VMs: members that reach the store come first in the order of leads, and VMs notice its loss up to a second apart, so they took others for the lead that did not take themselves for it, and nobody answered for tokens. Counting needs no store; its order leaves that out.

--- a/internal/process/heartbeater/limits.go
+++ b/internal/process/heartbeater/limits.go
@@ -1,19 +1,29 @@
 package heartbeater
 
 import (
+	"slices"
+
 	"github.com/gullvale/gullvale/internal/request/limiter"
 	"github.com/gullvale/gullvale/pkg/hasher"
 	"github.com/gullvale/gullvale/pkg/timekeeper"
 )
 
+// census is a limiter.Census that is being made.
+type census limiter.Census
+
 // Census returns what this member knows of those who share limits with it.
 func (b *Beater) Census() limiter.Census {
+	return limiter.Census(b.census())
+}
+
+func (b *Beater) census() census {
 	self := b.Self()
 	now := b.Clock.Now()
 	b.lock.Lock()
 	defer b.lock.Unlock()
-	c := limiter.Census{Known: 1, Near: 1}
+	c := census{Known: 1, Near: 1}
 	hears := false
+	best := map[string]*known{}
 	for _, k := range b.members {
 		lives := now-max(k.heard, k.vouched) < leadSilence
 		if k.Leaving && !lives {
@@ -21,37 +31,42 @@
 		}
 		c.Known++
 		hears = hears || lives
-		if lives && k.Site.Region() == self.Site.Region() {
+		if !lives {
+			continue
+		}
+		r := k.Site.Region()
+		if r == self.Site.Region() {
 			c.Near++
 		}
+		if l := best[r]; l == nil || countsBefore(k.Member, k.order, l.Member, l.order) {
+			best[r] = k
+		}
 	}
 	c.Alone = c.Known > 1 && !hears
-	c.Others = b.leadsOf(self.Site.Region())
-	if lead := b.lead(self); lead != nil {
-		c.Lead = lead.Beats
-		return c
-	}
-	c.Leads = true
+	c.place(self, best)
 	return c
 }
 
-// leadsOf returns the addresses of the leads of the other regions. The caller holds the lock.
-func (b *Beater) leadsOf(region string) (to []string) {
-	best := map[string]*known{}
-	now := b.Clock.Now()
-	for _, k := range b.members {
-		r := k.Site.Region()
-		if r == region || !k.lives(now) {
-			continue
-		}
-		if l := best[r]; l == nil || before(k.Member, k.order, l.Member, l.order) {
-			best[r] = k
-		}
+// place says who counts, of the best members of each region.
+func (c *census) place(self Member, best map[string]*known) {
+	own := self.Site.Region()
+	if l := best[own]; l != nil && countsBefore(l.Member, l.order, self, hasher.OfString(self.Name)) {
+		c.Lead = l.Beats
 	}
-	for _, k := range best {
-		to = append(to, k.Beats)
+	c.Leads = c.Lead == ""
+	for r, l := range best {
+		if r != own {
+			c.Others = append(c.Others, l.Beats)
+		}
 	}
-	return to
+	slices.Sort(c.Others)
+}
+
+// countsBefore orders members by who counts for limits. To count needs no store: while it is
+// away, members differ in who still reaches it, and so in who leads.
+func countsBefore(x Member, xo hasher.Hash, y Member, yo hasher.Hash) bool {
+	x.Reaching, y.Reaching = true, true
+	return before(x, xo, y, yo)
 }
 
 // SendLimit sends a message about limits.
