--- a/internal/process/explainer/line.go
+++ b/internal/process/explainer/line.go
@@ -37,12 +37,14 @@
 		Time    time.Time `json:"time"`
 		Message string    `json:"msg"`
 
-		ID       string `json:"id"`
-		Route    string `json:"route"`
-		Service  string `json:"service"`
-		Class    string `json:"class"`
-		Upstream string `json:"upstream"`
-		Site     string `json:"site"`
+		ID      string `json:"id"`
+		Route   string `json:"route"`
+		Service string `json:"service"`
+		Class   string `json:"class"`
+		// Organisation is whose request it was, "" if it need not say.
+		Organisation string `json:"organisation"`
+		Upstream     string `json:"upstream"`
+		Site         string `json:"site"`
 		// Placed is why Upstream was the choice, Left the home that the key left for it.
 		Placed   string `json:"placed"`
 		Left     string `json:"left"`
--- a/internal/process/explainer/text.go
+++ b/internal/process/explainer/text.go
@@ -26,6 +26,9 @@
 	if q.Route != "" {
 		say("route %s of service %s, %s", q.Route, q.Service, q.Class)
 	}
+	if q.Organisation != "" {
+		say("organisation %s", q.Organisation)
+	}
 	t.writeTimes(say)
 	t.writeConfig(say)
 	t.writeUpstream(say)
--- a/internal/request/dispatcher/dispatcher.go
+++ b/internal/request/dispatcher/dispatcher.go
@@ -98,7 +98,8 @@
 		Without switcher.Set
 		Clock   timekeeper.Clock
 
-		active atomic.Int64
+		active        atomic.Int64
+		organisations organisationLabels
 	}
 
 	// Decision is how one request ended and what decided it.
--- a/internal/request/dispatcher/measure.go
+++ b/internal/request/dispatcher/measure.go
@@ -20,9 +20,20 @@
 		l.Kind = e.Reason
 		d.Meter.Count("request_reasons", l)
 	}
+	d.measureOrganisation(e)
 	d.measurePlacement(e)
 }
 
+// measureOrganisation counts how requests of an organisation ended. The first ones that send
+// requests have metrics of their own, so that their number stays bounded.
+func (d *Dispatcher) measureOrganisation(e *Decision) {
+	if e.Organisation == "" {
+		return
+	}
+	l := measurer.Labels{Class: d.organisations.label(e.Organisation), Kind: e.Outcome}
+	d.Meter.Observe("organisation_seconds", l, e.Took.Duration())
+}
+
 // measurePlacement counts why a request's upstream was the choice.
 func (d *Dispatcher) measurePlacement(e *Decision) {
 	if e.Placement.Reason == assigner.NotPlaced {
