placer, tracker: a home that refuses some requests is kept to

Now an upstream that knows the key is passed over for refusals only above a share of 0.7: below it, what stays earns more than what is late. One that fails requests, or loses their answers, is passed over as before.

--- a/internal/connection/tracker/upstream.go
+++ b/internal/connection/tracker/upstream.go
@@ -53,7 +53,10 @@
 		downUntil timekeeper.Millis
 		backOff   timekeeper.Millis
 
+		// failing is the running share of requests that it failed or refused, breaking of
+		// those that it failed.
 		failing    float64
+		breaking   float64
 		spareUntil timekeeper.Millis
 
 		cold *rate.Limiter
@@ -73,7 +76,8 @@
 		Down:     now < u.downUntil,
 		Failing:  u.failing > failLimit && now < u.spareUntil,
 
-		FailShare: u.failing,
+		FailShare:  u.failing,
+		BreakShare: u.breaking,
 	}
 }
 
@@ -120,7 +124,16 @@
 	u.lock.Lock()
 	defer u.lock.Unlock()
 	u.backOff, u.downUntil = 0, 0
-	u.judge(failed, now)
+	u.judge(failed, failed, now)
+}
+
+// Refused records that the upstream answered that it did not run a request.
+func (u *Upstream) Refused() {
+	now := u.clock.Now()
+	u.lock.Lock()
+	defer u.lock.Unlock()
+	u.backOff, u.downUntil = 0, 0
+	u.judge(true, false, now)
 }
 
 // Lost records that a request was sent and got no answer.
@@ -128,7 +141,7 @@
 	now := u.clock.Now()
 	u.lock.Lock()
 	defer u.lock.Unlock()
-	u.judge(true, now)
+	u.judge(true, true, now)
 }
 
 // Unreached records that no connection could be opened.
@@ -138,7 +151,7 @@
 	defer u.lock.Unlock()
 	u.backOff = min(max(u.backOff*2, firstBackOff), lastBackOff)
 	u.downUntil = now + u.backOff
-	u.judge(true, now)
+	u.judge(true, true, now)
 }
 
 // Misdirected records that another incarnation answers at the address, and tells whether
@@ -151,17 +164,23 @@
 	return news
 }
 
-func (u *Upstream) judge(failed bool, now timekeeper.Millis) {
-	outcome := 0.0
-	if failed {
-		outcome = 1
-	}
-	u.failing += (outcome - u.failing) * failWeight
+// judge notes whether a request failed or was refused, and whether it failed.
+func (u *Upstream) judge(failed, broke bool, now timekeeper.Millis) {
+	u.failing += (share(failed) - u.failing) * failWeight
+	u.breaking += (share(broke) - u.breaking) * failWeight
 	if u.failing > failLimit {
 		u.spareUntil = now + spareFor
 	}
 }
 
+// share is that of one outcome.
+func share(happened bool) float64 {
+	if happened {
+		return 1
+	}
+	return 0
+}
+
 // MayWarm tells whether a rate allows one more request while the upstream is cold.
 func (u *Upstream) MayWarm(perSecond float64, burst int) bool {
 	u.lock.Lock()
--- a/internal/request/dispatcher/answer.go
+++ b/internal/request/dispatcher/answer.go
@@ -34,7 +34,7 @@
 		return false
 	}
 	if a.Header.Get(x.d.Fields.NotRun) != "" {
-		t.Reached(true)
+		t.Refused()
 		x.decision.Reason = "refused by upstream"
 		x.refusedBy = x.tried[len(x.tried)-1]
 		drain(a)
--- a/internal/request/dispatcher/choose.go
+++ b/internal/request/dispatcher/choose.go
@@ -34,20 +34,23 @@
 		list = append(list, home)
 		// Nearly all requests end here. To look for more candidates takes time in
 		// proportion to the upstreams of the service.
-		if state := x.state(home); x.d.placer().Judge(state, x.urgent()) == placer.Fit && x.warm(home) {
+		state := x.state(home)
+		state.Knows = true
+		if x.d.placer().Judge(state, x.urgent()) == placer.Fit && x.warm(home) {
 			x.take(home, state)
 			x.place(home)
 			return home, placer.Fit
 		}
 		list = x.d.Homes.Former(list, x.key, all, x.allowed)
 	}
+	known := len(list)
 	list = x.candidates(list, all, x.allows)
 	var states [maxCandidates]placer.State
-	if !x.judge(list, states[:]) {
+	if !x.judge(list, states[:], known) {
 		// Ended upstreams stay listed while the store is out. Daemons that know the same of
 		// them agree on the next ones by the hash of the key.
 		list = x.candidates(list, all, x.takes)
-		x.judge(list, states[:])
+		x.judge(list, states[:], known)
 	}
 	for {
 		i, verdict := x.pick(list, states[:len(list)])
@@ -119,12 +122,13 @@
 	return i, verdict
 }
 
-// judge notes the states of the candidates, and tells whether any of them can be reached as
-// far as is known.
-func (x *exchange) judge(list []*cataloger.Upstream, states []placer.State) bool {
+// judge notes the states of the candidates, of which the first know the request's key, and
+// tells whether any of them can be reached as far as is known.
+func (x *exchange) judge(list []*cataloger.Upstream, states []placer.State, known int) bool {
 	reachable := false
 	for i, u := range list {
 		states[i] = x.state(u)
+		states[i].Knows = i < known
 		reachable = reachable || states[i].Reachable()
 	}
 	return reachable
--- a/internal/request/placer/place.go
+++ b/internal/request/placer/place.go
@@ -22,6 +22,10 @@
 	// that leaves for another one is slower there.
 	betterShare = 0.5
 
+	// knownFailShare is the share of refusals from which an upstream is passed over that knows
+	// the request's key: above it, even a late answer of another one is worth more.
+	knownFailShare = 0.7
+
 	// idleShare is how many requests an upstream may have at most for a key to
 	// move there from a full one, in parts of its slots.
 	idleShare = 0.5
@@ -68,6 +72,10 @@
 		Failing bool
 		// FailShare is the running share of requests that it failed or refused.
 		FailShare float64
+		// BreakShare is that of requests that it failed and did not refuse.
+		BreakShare float64
+		// Knows tells that it ran the request's key lately, and works faster on it.
+		Knows bool
 		// Cold tells that its rate while cold is used up.
 		Cold bool
 		// Tried tells that this request was sent there before.
@@ -85,6 +93,14 @@
 	return !s.Gone && !s.Down && !s.Tried
 }
 
+// spared tells whether the upstream fails or refuses so many requests that others should get
+// them. A refusal costs little: one that knows the key is worth more then than another one,
+// where its run would be late.
+func (s State) spared() bool {
+	refuses := s.BreakShare < s.FailShare*betterShare
+	return s.Failing && !(s.Knows && refuses && s.FailShare < knownFailShare)
+}
+
 // idle tells whether an upstream has room for a key that it does not know, whose
 // requests take several times as long at first.
 func (s State) idle() bool {
@@ -145,7 +161,7 @@
 		return Gone
 	case s.Down && !p.Without.Has(switcher.BackOff):
 		return Down
-	case s.Failing && !p.Without.Has(switcher.FailureShares):
+	case s.spared() && !p.Without.Has(switcher.FailureShares):
 		return Failing
 	case s.Reported > line*slots && !p.Without.Has(switcher.LineLimits):
 		return Line
--- a/internal/request/placer/place_test.go
+++ b/internal/request/placer/place_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"math/rand/v2"
 	"testing"
 
 	"github.com/matryer/is"
@@ -116,3 +117,65 @@
 		})
 	}
 }
+
+// TestKnownUpstreamThatRefusesSome judges an upstream that fails or refuses some requests, by
+// whether it knows the request's key.
+func TestKnownUpstreamThatRefusesSome(t *testing.T) {
+	tests := []struct {
+		knows        bool
+		share, broke float64
+		want         placer.Verdict
+	}{
+		{false, 0.45, 0, placer.Failing},
+		{true, 0.45, 0, placer.Fit},
+		{true, 0.45, 0.1, placer.Fit},
+		{true, 0.45, 0.4, placer.Failing},
+		{true, 0.75, 0, placer.Failing},
+	}
+	for _, tt := range tests {
+		s := placer.State{Slots: 4, Failing: true, FailShare: tt.share, BreakShare: tt.broke, Knows: tt.knows}
+		is.New(t).Equal(placer.Placer{}.Judge(s, true), tt.want)
+	}
+}
+
+// TestAllRefuseHalf has all upstreams refuse nearly half of what they get. A request that
+// leaves its home is served late elsewhere, which earns a fifth, so most stay.
+func TestAllRefuseHalf(t *testing.T) {
+	is := is.New(t)
+	away, kept := earned(false), earned(true)
+	t.Logf("earned of 2,000: %.0f if keys leave, %.0f if they stay", away, kept)
+	is.True(kept > away)
+}
+
+// earned is what callers get of 2,000 requests of keys that their homes know, each sent
+// at most twice.
+func earned(knows bool) (sum float64) {
+	const late, refusing, weight, limit = 0.2, 0.45, 0.15, 0.35
+	random := rand.New(rand.NewPCG(1, 2))
+	shares := make([]float64, 20)
+	for range 2000 {
+		at := random.Perm(len(shares))[:3]
+		for range 2 {
+			var states []placer.State
+			for i, u := range at {
+				states = append(states, placer.State{Slots: 9, Failing: shares[u] > limit, FailShare: shares[u], Knows: knows && i == 0})
+			}
+			i, _, _ := placer.Placer{}.ChooseHomed(states, true)
+			refused := 0.0
+			if random.Float64() < refusing {
+				refused = 1
+			}
+			shares[at[i]] += (refused - shares[at[i]]) * weight
+			switch {
+			case refused == 0 && i == 0:
+				sum++
+			case refused == 0:
+				sum += late
+			default:
+				continue
+			}
+			break
+		}
+	}
+	return sum
+}
