loader, follower, commander: organisations of an entry that follows a table

The product's own interface knew no organisations. An entry's table now has them with digests of keys, rank, limit and regions, and public routes; all faults are told at once with their places, none repeats a key that stands where a digest belongs, and the table in force stays. 'gullvale key' makes a key and its digest or reads one from standard input, 'gullvale organisations' lists them. An entry by itself counts for itself and begins with the whole burst (seen by the new test: with an empty bucket, an organisation with a burst of 12 and 0.01 requests a second was refused for its first 100 s). Nothing of it is on the platform's path.

--- a/internal/process/commander/root.go
+++ b/internal/process/commander/root.go
@@ -72,7 +72,7 @@
 	}
 	c.PersistentFlags().StringVarP(&a.output, "output", "o", outputText, "text or json")
 	c.AddCommand(a.settings(), a.drain(), a.undrain(), a.shift(), a.unshift(), a.status(), a.lookup(),
-		a.quarantine(), a.blocks(), a.token(), a.explain(), a.routes(), a.demo(), a.version())
+		a.quarantine(), a.blocks(), a.token(), a.explain(), a.routes(), a.organisations(), a.key(), a.demo(), a.version())
 	return c
 }
 
--- a/internal/process/follower/follow.go
+++ b/internal/process/follower/follow.go
@@ -14,8 +14,11 @@
 	"github.com/gullvale/gullvale/internal/process/switcher"
 	"github.com/gullvale/gullvale/internal/request/assigner"
 	"github.com/gullvale/gullvale/internal/request/dispatcher"
+	"github.com/gullvale/gullvale/internal/request/limiter"
+	"github.com/gullvale/gullvale/internal/version/authenticator"
 	"github.com/gullvale/gullvale/internal/version/loader"
 	"github.com/gullvale/gullvale/internal/version/parser"
+	"github.com/gullvale/gullvale/pkg/hasher"
 	"github.com/gullvale/gullvale/pkg/registrar"
 	"github.com/gullvale/gullvale/pkg/timekeeper"
 )
@@ -39,8 +42,11 @@
 var Fields = dispatcher.Fields{
 	RequestID: "Gullvale-Request",
 	Deadline:  "Gullvale-Deadline-Millis",
-	Key:       "Gullvale-Key",
-	NotRun:    "X-Not-Run",
+	// Key names the object that a request is about; Credential is an API key.
+	Key:          "Gullvale-Key",
+	Credential:   "Gullvale-Credential",
+	Organisation: "Gullvale-Organisation",
+	NotRun:       "X-Not-Run",
 }
 
 type (
@@ -65,6 +71,7 @@
 	Follower struct {
 		options Options
 		front   *fronter.Fronter
+		limits  *limiter.Limiter
 		clock   timekeeper.Clock
 		// seen is the file's state when it was last read.
 		seen state
@@ -86,6 +93,7 @@
 	if len(problems) > 0 {
 		return nil, problems
 	}
+	f.limits = f.newLimits()
 	self := []heartbeater.Member{{Name: o.Name, Site: o.Site}}
 	f.front = fronter.New(fronter.Options{
 		Front:       o.Callers,
@@ -98,6 +106,7 @@
 		Self:        o.Name,
 		Members:     func() []heartbeater.Member { return self },
 		Homes:       &assigner.Assigner{Region: o.Site.Region(), Regions: t.Regions(), Without: o.Without},
+		Limits:      f.limits,
 		Without:     o.Without,
 		Bounds: func() fronter.Bounds {
 			return fronter.Bounds{RetryRatio: retryRatio, RetryBurst: retryBurst, RetryWindow: retryWindow}
@@ -108,16 +117,31 @@
 	return f, nil
 }
 
+// newLimits are the limits of organisations of an entry that has no others beside it.
+func (f *Follower) newLimits() *limiter.Limiter {
+	return limiter.New(limiter.Options{
+		Tolerance: func() limiter.Tolerance { return limiter.Tolerance{} },
+		Census:    func() limiter.Census { return limiter.Census{Known: 1, Near: 1, Leads: true, Sole: true} },
+		Organisation: func(h hasher.Hash) *authenticator.Organisation {
+			return f.front.Config().Organisations.Known(h)
+		},
+		Send: func(limiter.Envelope) {},
+	})
+}
+
 // Run serves until the process is told to stop.
 func (f *Follower) Run() error {
 	signals := make(chan os.Signal, 1)
 	signal.Notify(signals, syscall.SIGTERM, syscall.SIGINT, syscall.SIGHUP)
 	defer signal.Stop(signals)
+	ctx, cancel := context.WithCancel(context.Background())
+	defer cancel()
+	go f.limits.Run(ctx)
 	if err := f.front.Start(); err != nil {
 		return err
 	}
 	f.options.Log.WithFields(logrus.Fields{"name": f.options.Name, "site": f.options.Site, "listeners": f.front.Addresses()}).Info("started")
-	f.await(context.Background(), signals)
+	f.await(ctx, signals)
 	f.front.Leave()
 	f.front.Stop()
 	f.options.Log.Info("stopped")
@@ -170,7 +194,7 @@
 }
 
 func (f *Follower) apply(t *loader.Table) {
-	log := f.options.Log.WithFields(logrus.Fields{"version": t.Config.Version, "routes": t.Config.Routes(), "upstreams": len(t.Upstreams)})
+	log := f.options.Log.WithFields(logrus.Fields{"version": t.Config.Version, "routes": t.Config.Routes(), "upstreams": len(t.Upstreams), "organisations": t.Config.Organisations.Len()})
 	if !f.front.SetConfig(t.Config) {
 		log.WithField("inForce", f.front.Config().Version).Warn("table not newer than what is in force")
 		return
--- a/internal/request/limiter/counter.go
+++ b/internal/request/limiter/counter.go
@@ -83,6 +83,9 @@
 	a := c.accounts[o.Hash()]
 	if a == nil {
 		a = &account{bucket: bucket{at: c.leadingSince}}
+		if c.census.Sole {
+			a.bucket.level = c.Tolerance.capacity(o.Limit)
+		}
 		c.accounts[o.Hash()] = a
 	}
 	a.used = now
--- a/internal/request/limiter/verdict.go
+++ b/internal/request/limiter/verdict.go
@@ -52,6 +52,8 @@
 		Others []string
 		// Alone tells that the member knows of others and hears none, or has just started.
 		Alone bool
+		// Sole tells that there are no others by design: buckets begin full.
+		Sole bool
 	}
 )
 
--- a/internal/version/loader/field.go
+++ b/internal/version/loader/field.go
@@ -1,11 +1,13 @@
 package loader
 
 import (
+	"fmt"
 	"math"
 	"net/netip"
 	"strconv"
 	"strings"
 
+	"github.com/gullvale/gullvale/internal/version/authenticator"
 	"github.com/gullvale/gullvale/internal/version/cataloger"
 	"github.com/gullvale/gullvale/internal/version/matcher"
 	"github.com/gullvale/gullvale/internal/version/parser"
@@ -45,6 +47,8 @@
 		return serviceField(b.service(e.Path[1]), last, e)
 	case n == ofTable && e.Path[0] == "Upstream":
 		return upstreamField(b.upstream(e.Path[1], e.Position), last, e)
+	case n == ofTable && e.Path[0] == "Organisation":
+		return organisationField(b.organisation(e.Path[1]), last, e)
 	case n == ofTable && e.Path[0] == "Route":
 		return routeField(b.route(e.Path[1]), last, e)
 	case n == ofWeight && e.Path[0] == "Route" && e.Path[2] == "Weights":
@@ -74,6 +78,13 @@
 	return b.upstreams[id]
 }
 
+func (b *builder) organisation(name string) *authenticator.Organisation {
+	if b.organisations[name] == nil {
+		b.organisations[name] = &authenticator.Organisation{Name: authenticator.Name(name)}
+	}
+	return b.organisations[name]
+}
+
 func (b *builder) fileField(name string, e parser.Entry) string {
 	switch name {
 	case "Version":
@@ -159,10 +170,43 @@
 		return words(&r.Regions, e)
 	case "Sticky":
 		return yes(&r.Sticky, e)
+	case "Public":
+		return yes(&r.Public, e)
 	}
 	return unknownSetting
 }
 
+func organisationField(o *authenticator.Organisation, name string, e parser.Entry) string {
+	switch name {
+	case "Keys":
+		return digests(&o.Keys, e)
+	case "Rank":
+		return whole(&o.Rank, e)
+	case "PerSecond":
+		return number(&o.Limit.PerSecond, e)
+	case "Burst":
+		return number(&o.Limit.Burst, e)
+	case "Regions":
+		return words(&o.Regions, e)
+	}
+	return unknownSetting
+}
+
+// digests reads digests of API keys. What is none is not repeated: it may be a key.
+func digests(x *[]authenticator.Digest, e parser.Entry) string {
+	if e.Kind != parser.KindList {
+		return "is no list of digests of keys"
+	}
+	for i, t := range e.List {
+		d, err := authenticator.ParseDigest(t)
+		if err != nil {
+			return fmt.Sprintf("entry %d is no digest of a key, which \"gullvale key\" prints", i+1)
+		}
+		*x = append(*x, d)
+	}
+	return ""
+}
+
 func weightField(r *matcher.Route, service string, e parser.Entry) string {
 	p := matcher.Part{Service: resolver.ServiceName(service)}
 	problem := whole(&p.Weight, e)
--- a/internal/version/loader/load.go
+++ b/internal/version/loader/load.go
@@ -7,6 +7,7 @@
 	"os"
 	"slices"
 
+	"github.com/gullvale/gullvale/internal/version/authenticator"
 	"github.com/gullvale/gullvale/internal/version/cataloger"
 	"github.com/gullvale/gullvale/internal/version/matcher"
 	"github.com/gullvale/gullvale/internal/version/parser"
@@ -34,7 +35,9 @@
 		services  map[string]*matcher.Service
 		upstreams map[string]*upstream
 		evacuated []string
-		problems  parser.Problems
+		// organisations are those that may send requests; none means that anybody may.
+		organisations map[string]*authenticator.Organisation
+		problems      parser.Problems
 	}
 
 	// upstream is an upstream and where the file begins to tell of it.
@@ -62,6 +65,8 @@
 		services:  map[string]*matcher.Service{},
 		upstreams: map[string]*upstream{},
 		problems:  problems,
+
+		organisations: map[string]*authenticator.Organisation{},
 	}
 	for _, e := range entries {
 		b.take(e)
@@ -101,9 +106,26 @@
 	for _, p := range unjoin(err) {
 		b.complain(parser.Position{File: b.file}, "", p.Error())
 	}
+	b.admit(c)
 	return &Table{Config: c, Upstreams: b.checked(), Evacuated: b.evacuated}
 }
 
+// admit has the configuration ask whose a request is if there are organisations.
+func (b *builder) admit(c *matcher.Config) {
+	if len(b.organisations) == 0 {
+		return
+	}
+	var list []authenticator.Organisation
+	for _, n := range slices.Sorted(maps.Keys(b.organisations)) {
+		list = append(list, *b.organisations[n])
+	}
+	d, err := authenticator.New(list)
+	for _, p := range unjoin(err) {
+		b.complain(parser.Position{File: b.file}, "", p.Error())
+	}
+	c.Admit(d)
+}
+
 // routed returns the services to which routes go.
 func (b *builder) routed() map[resolver.ServiceName]bool {
 	out := map[resolver.ServiceName]bool{}
--- a/test/entry_test.go
+++ b/test/entry_test.go
@@ -1,10 +1,12 @@
 package integration_test
 
 import (
+	"encoding/json"
 	"fmt"
 	"io"
 	"net/http"
 	"os"
+	"os/exec"
 	"path/filepath"
 	"strings"
 	"syscall"
@@ -124,3 +126,69 @@
 	entry.signal(syscall.SIGTERM)
 	is.Equal(entry.exit(), 0)
 }
+
+// TestEntryAsksWhoseRequestsAre runs an entry whose table has an organisation: its key is
+// made by the command line, its limit holds, and a key that is taken away counts no more.
+func TestEntryAsksWhoseRequestsAre(t *testing.T) {
+	is := is.New(t)
+	var made struct{ Key, Digest string }
+	is.NoErr(json.Unmarshal([]byte(gullvaleInput(t, "", "-o", "json", "key")), &made))
+	is.Equal(strings.TrimSpace(gullvaleInput(t, made.Key+"\n", "key", "digest")), made.Digest)
+
+	upstreams := []string{startUpstream(t), startUpstream(t)}
+	file := filepath.Join(t.TempDir(), "table.toml")
+	organisation := func(version int, keys string) string {
+		return tableOf(version, "", upstreams) + fmt.Sprintf(`[Organisation.brewery]
+Keys = [%s]
+PerSecond = 0.01
+Burst = 12
+`, keys)
+	}
+	write := func(text string) { is.NoErr(os.WriteFile(file, []byte(text), 0o600)) }
+	write(organisation(1, fmt.Sprintf("%q", made.Digest)))
+	is.True(strings.Contains(gullvaleInput(t, "", "organisations", file), "brewery  rank 0, 0.01 a second, burst 12, anywhere, 1 keys"))
+
+	entry := start(t, "gullvaled", "entry", "--table", file, "--callers", "127.0.0.1:0", "--stop-millis", "1500")
+	callers := entry.field("listeners")["listeners"].([]any)[0].(string)
+	token := 0
+	ask := func(key string) int {
+		token++
+		q, err := http.NewRequest(http.MethodPost, fmt.Sprintf("http://%s/ledger/x?Bytes=40&Token=o%d", callers, token), strings.NewReader("keg"))
+		is.NoErr(err)
+		q.Host = "kegs.example"
+		q.Header.Set("Gullvale-Credential", key)
+		p, err := http.DefaultClient.Do(q)
+		if err != nil {
+			return 0
+		}
+		defer p.Body.Close()
+		_, _ = io.Copy(io.Discard, p.Body)
+		return p.StatusCode
+	}
+	eventually(t, "a request is answered", func() bool { return ask(made.Key) == http.StatusOK })
+	is.Equal(ask("another"), http.StatusUnauthorized)
+	statuses := map[int]int{}
+	for range 20 {
+		statuses[ask(made.Key)]++
+	}
+	is.True(statuses[http.StatusOK] <= 12 && statuses[http.StatusTooManyRequests] >= 8)
+
+	write(organisation(2, ""))
+	eventually(t, "the key counts no more", func() bool { return ask(made.Key) == http.StatusUnauthorized })
+	is.True(!strings.Contains(entry.text(), made.Key))
+	entry.signal(syscall.SIGTERM)
+	is.Equal(entry.exit(), 0)
+}
+
+// gullvaleInput runs the command line with a text on standard input and returns what it
+// prints.
+func gullvaleInput(t *testing.T, input string, args ...string) string {
+	t.Helper()
+	c := exec.Command(filepath.Join(binaries, "gullvale"), args...)
+	c.Stdin = strings.NewReader(input)
+	out, err := c.Output()
+	if err != nil {
+		t.Fatal(args, ": ", err)
+	}
+	return string(out)
+}
