limiter: who counts is called a counter throughout, and no step needs a look at the fleet first

Read as a newcomer: 'lead' meant two things, who relays and who counts, and since the store does not decide who counts they are not the same daemon.

--- a/internal/process/follower/follow.go
+++ b/internal/process/follower/follow.go
@@ -121,7 +121,7 @@
 func (f *Follower) newLimits() *limiter.Limiter {
 	return limiter.New(limiter.Options{
 		Tolerance: func() limiter.Tolerance { return limiter.Tolerance{} },
-		Census:    func() limiter.Census { return limiter.Census{Known: 1, Near: 1, Leads: true, Sole: true} },
+		Census:    func() limiter.Census { return limiter.Census{Known: 1, Near: 1, Counts: true, Sole: true} },
 		Organisation: func(h hasher.Hash) *authenticator.Organisation {
 			return f.front.Config().Organisations.Known(h)
 		},
--- a/internal/process/heartbeater/limits.go
+++ b/internal/process/heartbeater/limits.go
@@ -51,9 +51,9 @@
 func (c *census) place(self Member, best map[string]*known) {
 	own := self.Site.Region()
 	if l := best[own]; l != nil && countsBefore(l.Member, l.order, self, hasher.OfString(self.Name)) {
-		c.Lead = l.Beats
+		c.Counter = l.Beats
 	}
-	c.Leads = c.Lead == ""
+	c.Counts = c.Counter == ""
 	for r, l := range best {
 		if r != own {
 			c.Others = append(c.Others, l.Beats)
--- a/internal/process/heartbeater/limits_test.go
+++ b/internal/process/heartbeater/limits_test.go
@@ -48,7 +48,7 @@
 // counting returns the members that take themselves for those who count.
 func (n *network) counting() (names []string) {
 	for _, name := range n.names() {
-		if c := n.members[name].Census(); c.Leads && !c.Alone {
+		if c := n.members[name].Census(); c.Counts && !c.Alone {
 			names = append(names, name)
 		}
 	}
--- a/internal/request/limiter/core.go
+++ b/internal/request/limiter/core.go
@@ -10,7 +10,7 @@
 )
 
 const (
-	// firstAgain is how long the lead of the region is passed over that did not answer.
+	// firstAgain is how long the counter of the region is passed over that did not answer.
 	firstAgain = 2 * timekeeper.Second
 
 	// idleTime is how long an organisation without requests is remembered.
@@ -26,14 +26,14 @@
 	// nil for none.
 	Organisation func(hasher.Hash) *authenticator.Organisation
 
-	census       Census
-	leadingSince timekeeper.Millis
-	// counters are whom tokens are drawn from: the lead of the region, then the others. The
-	// one whose turn it is is asked, and deaf is how many in a row did not answer.
+	census        Census
+	countingSince timekeeper.Millis
+	// counters are whom tokens are drawn from: the one of the region, then the others. Turn
+	// says which of them is asked, and deaf how many questions in a row were not answered.
 	counters []string
 	turn     int
 	deaf     int
-	// passed is when the lead of the region was passed over.
+	// passed is when the counter of the region was passed over.
 	passed timekeeper.Millis
 	// ownSince is when this daemon began to use its own parts, and ownUsed when it last did.
 	ownSince timekeeper.Millis
@@ -47,21 +47,18 @@
 // Observe takes what is known of the fleet now.
 func (c *Core) Observe(now timekeeper.Millis, n Census) {
 	counted := c.counts()
-	if n.Lead != c.census.Lead {
+	if n.Counter != c.census.Counter {
 		c.turn, c.deaf = 0, 0
 	}
 	c.census = n
 	c.counters = c.counters[:0]
-	if n.Lead != "" {
-		c.counters = append(append(c.counters, n.Lead), n.Others...)
-	}
-	if c.stocks == nil {
-		c.stocks = map[hasher.Hash]*stock{}
+	if n.Counter != "" {
+		c.counters = append(append(c.counters, n.Counter), n.Others...)
 	}
 	if c.counts() == counted {
 		return
 	}
-	c.accounts, c.leadingSince = nil, now
+	c.accounts, c.countingSince = nil, now
 	if c.counts() {
 		c.accounts = map[hasher.Hash]*account{}
 	}
@@ -195,7 +192,7 @@
 
 // counts tells whether this daemon counts for its region.
 func (c *Core) counts() bool {
-	return c.census.Leads && !c.census.Alone
+	return c.census.Counts && !c.census.Alone
 }
 
 // limited returns an organisation that has a limit.
--- a/internal/request/limiter/counter.go
+++ b/internal/request/limiter/counter.go
@@ -33,7 +33,7 @@
 )
 
 type (
-	// account is a region's count of one organisation, at its lead.
+	// account is a region's count of one organisation, at its counter.
 	account struct {
 		bucket  bucket
 		demand  demand
@@ -77,12 +77,12 @@
 	}
 }
 
-// account returns the region's account of an organisation. The bucket of a lead fills from
+// account returns the region's account of an organisation. That of a new counter fills from
 // the moment at which it became one: what its predecessor handed out is not known here.
 func (c *Core) account(o *authenticator.Organisation, now timekeeper.Millis) *account {
 	a := c.accounts[o.Hash()]
 	if a == nil {
-		a = &account{bucket: bucket{at: c.leadingSince}}
+		a = &account{bucket: bucket{at: c.countingSince}}
 		if c.census.Sole {
 			a.bucket.level = c.Tolerance.capacity(o.Limit)
 		}
--- a/internal/request/limiter/fleet_test.go
+++ b/internal/request/limiter/fleet_test.go
@@ -244,9 +244,9 @@
 		}
 	}
 	if lead != d && lead >= 0 {
-		c.Lead = strconv.Itoa(lead)
+		c.Counter = strconv.Itoa(lead)
 	}
-	c.Leads = c.Lead == ""
+	c.Counts = c.Counter == ""
 	for r, l := range f.seen.leads {
 		if r != f.region(d) && l >= 0 {
 			c.Others = append(c.Others, strconv.Itoa(l))
--- a/internal/request/limiter/limits_test.go
+++ b/internal/request/limiter/limits_test.go
@@ -178,7 +178,7 @@
 	is := is.New(t)
 	all := prepared(&authenticator.Organisation{Name: "o", Limit: authenticator.Limit{PerSecond: 20, Burst: 2}})
 	core := limiter.Core{Tolerance: limiter.Tolerance{Window: 5 * second}}
-	core.Observe(0, limiter.Census{Known: 1, Near: 1, Leads: true})
+	core.Observe(0, limiter.Census{Known: 1, Near: 1, Counts: true})
 	seen := map[timekeeper.Millis]bool{}
 	admitted := 0
 	for range 20 {
--- a/internal/request/limiter/message.go
+++ b/internal/request/limiter/message.go
@@ -7,11 +7,11 @@
 
 // The kinds of message.
 const (
-	// Draw asks the lead of the region for tokens.
+	// Draw asks the counter of the region for tokens.
 	Draw Kind = iota + 1
 	// Grant answers a Draw.
 	Grant
-	// Borrow asks the lead of another region for tokens.
+	// Borrow asks the counter of another region for tokens.
 	Borrow
 	// Loan answers a Borrow.
 	Loan
--- a/internal/request/limiter/stock.go
+++ b/internal/request/limiter/stock.go
@@ -2,6 +2,7 @@
 
 import (
 	"github.com/gullvale/gullvale/internal/version/authenticator"
+	"github.com/gullvale/gullvale/pkg/hasher"
 	"github.com/gullvale/gullvale/pkg/timekeeper"
 )
 
@@ -18,12 +19,12 @@
 	// organisation's use is not known here.
 	unknownAfter = 250 * timekeeper.Millis(1)
 
-	// partDelay is how long a daemon uses nothing of its own part: until those who count have
-	// missed it, they count with that part.
+	// partDelay is how long a daemon uses nothing of its own part: those who count hand it out
+	// until they have missed the daemon.
 	partDelay = 1600 * timekeeper.Millis(1)
 
-	// ownAgain is how long a daemon that heard one that counts in between goes on with the buckets of
-	// its own that it had before.
+	// ownAgain is how long a daemon goes on with the buckets of its own part that it had before
+	// it heard from one that counts.
 	ownAgain = 5 * timekeeper.Second
 )
 
@@ -44,8 +45,8 @@
 	next        timekeeper.Millis
 	gap         timekeeper.Millis
 
-	// own is the bucket that is used while nobody who counts is heard, ownSince the beginning of the
-	// time that it is for.
+	// own is the bucket that is used while nobody who counts is heard, and ownSince when the
+	// daemon began to use its own part.
 	own      bucket
 	ownSince timekeeper.Millis
 	used     timekeeper.Millis
@@ -53,6 +54,9 @@
 
 // stock returns this daemon's stock of an organisation, without what has lapsed.
 func (c *Core) stock(o *authenticator.Organisation, now timekeeper.Millis) *stock {
+	if c.stocks == nil {
+		c.stocks = map[hasher.Hash]*stock{}
+	}
 	s := c.stocks[o.Hash()]
 	if s == nil {
 		s = &stock{}
--- a/internal/request/limiter/tolerance.go
+++ b/internal/request/limiter/tolerance.go
@@ -7,7 +7,7 @@
 
 const (
 	// usedTolerance is the part of the tolerance that buckets hold beside the burst. The rest
-	// covers counters that overlap when a lead changes, and parts of daemons that are alone.
+	// covers counters that overlap when another one takes over, and parts of daemons that are alone.
 	usedTolerance = 0.4
 
 	// headroom is how many times its rate an organisation may have in tokens that are handed
--- a/internal/request/limiter/verdict.go
+++ b/internal/request/limiter/verdict.go
@@ -43,12 +43,12 @@
 		// and Near those of its region that it hears.
 		Known int
 		Near  int
-		// Leads tells that this member counts for its region, and Lead is the address of
+		// Counts tells that this member counts for its region, and Counter is the address of
 		// the one that does, "" for none.
-		Leads bool
-		Lead  string
+		Counts  bool
+		Counter string
 		// Others are the addresses of those that count for the other regions. They are
-		// borrowed from by a lead, and drawn from where the lead is silent.
+		// borrowed from by a counter, and drawn from where that of the region is silent.
 		Others []string
 		// Alone tells that the member knows of others and hears none, or has just started.
 		Alone bool
