dispatcher: a missing or malformed key is told apart from a newer configuration as well

Read once more: 401 was said of a request without a sound key also while a change was known that had not been read, with the reason that no version allows it. A newer version may have made its route public. It is 503 then, as for unknown keys and routes.

--- a/internal/request/dispatcher/identify.go
+++ b/internal/request/dispatcher/identify.go
@@ -25,8 +25,8 @@
 	}
 	key, flaw := authenticator.Credential(x.r.Header[http.CanonicalHeaderKey(x.d.Fields.Credential)])
 	if flaw != authenticator.Sound {
-		// No configuration allows it, the one that may not have been read included.
-		x.refuse(http.StatusUnauthorized, string(flaw), 0)
+		// A newer configuration may have made the route public.
+		x.deny(http.StatusUnauthorized, string(flaw))
 		return false
 	}
 	if x.d.Uncertain != nil && x.d.Uncertain() {
