finder: a refused connection leaves a written request in doubt

Callers saw: a GET called "not run" that an entry had run.

Cause: net/http repeats an idempotent request by itself when a kept connection closes under it. If the entry has ended, the error of the whole is that of the second dial, which the finder took as proof that nothing was sent, though the head had been written before. It is the class of TestDomainLost: what one try proves is said of the tries before it as well.

Change: only whether a head was ever written counts, over all connections of the request (progress). The error is not looked at.

Ruled out: a POST with a body, which net/http does not repeat without GetBody.

--- /dev/null
+++ b/pkg/finder/repeat_test.go
@@ -0,0 +1,94 @@
+package finder_test
+
+import (
+	"bufio"
+	"context"
+	"encoding/json"
+	"net"
+	"net/http"
+	"net/http/httptest"
+	"sync/atomic"
+	"testing"
+
+	"github.com/matryer/is"
+
+	"github.com/gullvale/gullvale/pkg/finder"
+)
+
+// dying is an entry that answers look-ups and one request, and ends while it runs the next
+// that comes over the same connection.
+type dying struct {
+	listener net.Listener
+	ran      atomic.Int64
+}
+
+func startDying(t *testing.T) *dying {
+	t.Helper()
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	d := &dying{listener: l}
+	t.Cleanup(func() { _ = l.Close() })
+	go d.run()
+	return d
+}
+
+func (d *dying) run() {
+	for {
+		c, err := d.listener.Accept()
+		if err != nil {
+			return
+		}
+		d.serve(c)
+	}
+}
+
+// serve serves one connection to its end.
+func (d *dying) serve(c net.Conn) {
+	defer c.Close()
+	r := bufio.NewReader(c)
+	for {
+		q, err := http.ReadRequest(r)
+		if err != nil {
+			return
+		}
+		if q.URL.Path == "/Lookup" {
+			d.reply(c, finder.Lookup{LifetimeMillis: 60_000, Entries: []finder.Entry{{Address: d.listener.Addr().String(), Incarnation: "00000000000000aa"}}})
+			continue
+		}
+		if d.ran.Add(1) > 1 {
+			_ = d.listener.Close()
+			return
+		}
+		d.reply(c, nil)
+	}
+}
+
+func (d *dying) reply(c net.Conn, v any) {
+	w := httptest.NewRecorder()
+	w.Header().Set("Gullvale-Outcome", "answered")
+	if v != nil {
+		_ = json.NewEncoder(w).Encode(v)
+	}
+	p := w.Result()
+	p.ContentLength = int64(w.Body.Len())
+	_ = p.Write(c)
+}
+
+// TestHiddenRepeatLeavesDoubt guards against a request called "not run" because the transport
+// repeated it by itself and was refused the connection, after an entry had run it and ended.
+func TestHiddenRepeatLeavesDoubt(t *testing.T) {
+	is := is.New(t)
+	d := startDying(t)
+	f := &finder.Finder{Seeds: []string{d.listener.Addr().String()}, HTTP: &http.Client{Transport: &http.Transport{}}}
+	get := finder.Request{Service: "s", Method: http.MethodGet, Target: "/x"}
+	p, err := f.Send(context.Background(), get)
+	is.NoErr(err)
+	is.Equal(p.Outcome, finder.Answered)
+	is.NoErr(p.Body.Close())
+	p, err = f.Send(context.Background(), get)
+	is.NoErr(err)
+	is.Equal(d.ran.Load(), int64(2))
+	is.Equal(p.Outcome, finder.Unknown)
+}
--- a/pkg/finder/send.go
+++ b/pkg/finder/send.go
@@ -7,11 +7,9 @@
 	"encoding/hex"
 	"io"
 	"net/http"
-	"net/http/httptrace"
 	"slices"
 	"strconv"
 	"strings"
-	"sync/atomic"
 	"time"
 
 	"github.com/gullvale/gullvale/pkg/timekeeper"
@@ -137,9 +135,8 @@
 }
 
 func (f *Finder) sendTo(ctx context.Context, e Entry, r Request, key sentKey, end timekeeper.Millis) Response {
-	var sent atomic.Bool
-	t := &httptrace.ClientTrace{WroteHeaders: func() { sent.Store(true) }}
-	q, err := http.NewRequestWithContext(httptrace.WithClientTrace(ctx, t), r.Method, "http://"+e.Address+r.Target, bodyOf(r.Body))
+	var p progress
+	q, err := http.NewRequestWithContext(p.watch(ctx), r.Method, "http://"+e.Address+r.Target, bodyOf(r.Body))
 	if err != nil {
 		return Response{Outcome: NotRun, Reason: err.Error()}
 	}
@@ -166,12 +163,12 @@
 	if key.first {
 		q.Header.Set(headerFirstTry, "1")
 	}
-	p, err := f.client().Do(q)
+	a, err := f.client().Do(q)
 	f.avoided.note(e.Address, err, f.Clock.Now())
 	if err != nil {
-		return lost(err, sent.Load())
+		return Response{Outcome: p.outcome(), Reason: err.Error()}
 	}
-	return response(p)
+	return response(a)
 }
 
 func bodyOf(b []byte) io.Reader {
@@ -181,15 +178,6 @@
 	return bytes.NewReader(b)
 }
 
-// lost is the outcome of a request without an answer. A request whose head was
-// never written did not run.
-func lost(err error, sent bool) Response {
-	if !sent || isDial(err) {
-		return Response{Outcome: NotRun, Reason: err.Error()}
-	}
-	return Response{Outcome: Unknown, Reason: err.Error()}
-}
-
 func response(p *http.Response) Response {
 	r := Response{
 		Status:   p.StatusCode,
