finder: a redirect is the answer, and is not followed

Callers saw: a POST whose upstream answered with a redirect ran four times, if the address it names is not reached. With one that is, callers got that address's answer in place of their own.

Cause: the finder sends through an http.Client, which follows redirects. The error of the second request, a refused connection, was taken for the first one's: "not run", so a new key and another entry, up to four times.

Change: the finder uses a copy of the client that returns redirects as they are.

Daemons redirect nothing that the finder asks for: only /Outcome, which it does not use.

--- a/pkg/finder/finder.go
+++ b/pkg/finder/finder.go
@@ -53,7 +53,8 @@
 	Finder struct {
 		// Seeds are the caller addresses of some daemons, "ip:port".
 		Seeds []string
-		// HTTP sends requests. Nil means http.DefaultClient.
+		// HTTP sends requests. Nil means http.DefaultClient. Its CheckRedirect is not
+		// used: redirects are passed on as answers.
 		HTTP  *http.Client
 		Clock timekeeper.Clock
 
--- a/pkg/finder/send.go
+++ b/pkg/finder/send.go
@@ -2,6 +2,7 @@
 
 import (
 	"bytes"
+	"cmp"
 	"context"
 	"crypto/rand"
 	"encoding/hex"
@@ -203,11 +204,12 @@
 	return r
 }
 
+// client returns the client to send with. It follows no redirect: one from an upstream is
+// the answer to the request, and is for the caller to follow.
 func (f *Finder) client() *http.Client {
-	if f.HTTP != nil {
-		return f.HTTP
-	}
-	return http.DefaultClient
+	c := *cmp.Or(f.HTTP, http.DefaultClient)
+	c.CheckRedirect = func(*http.Request, []*http.Request) error { return http.ErrUseLastResponse }
+	return &c
 }
 
 // Wait sleeps as long as an entry asked for, and reports false when ctx ends
