finder: no field of the caller's makes the transport repeat a request

Callers could see: a POST without a body that carries X-Idempotency-Key sent up to eight times for four tries. The hidden repeats carry the mark of a first try as well, and an entry that started anew between the two would have called the second "not run" in good faith.

Cause: http.Transport repeats any method with Idempotency-Key or X-Idempotency-Key when a kept connection closes. Only the first name was put in lower case; the pool of the daemons hides both.

Change: both names go out in lower case, also where the caller set them.

--- a/pkg/finder/repeat_test.go
+++ b/pkg/finder/repeat_test.go
@@ -92,3 +92,37 @@
 	is.Equal(d.ran.Load(), int64(2))
 	is.Equal(p.Outcome, finder.Unknown)
 }
+
+// TestTransportRepeatsNothing guards against a request that must not run twice and that the
+// transport repeats by itself, for a field by which it takes any method for idempotent.
+func TestTransportRepeatsNothing(t *testing.T) {
+	for _, field := range []string{"Idempotency-Key", "X-Idempotency-Key"} {
+		t.Run(field, func(t *testing.T) {
+			is := is.New(t)
+			var came atomic.Int64
+			var address string
+			s := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+				if r.URL.Path == "/Lookup" {
+					_ = json.NewEncoder(w).Encode(finder.Lookup{LifetimeMillis: 60_000, Entries: []finder.Entry{{Address: address, Incarnation: "00000000000000aa"}}})
+					return
+				}
+				is.Equal(r.Header.Get(field), "k-1")
+				if came.Add(1) > 1 {
+					panic(http.ErrAbortHandler)
+				}
+				w.Header().Set("Gullvale-Outcome", "answered")
+			}))
+			defer s.Close()
+			address = s.Listener.Addr().String()
+			f := &finder.Finder{Seeds: []string{address}, HTTP: s.Client()}
+			q := finder.Request{Service: "s", Method: http.MethodPost, Target: "/x", Header: http.Header{field: {"k-1"}}}
+			p, err := f.Send(context.Background(), q)
+			is.NoErr(err)
+			is.NoErr(p.Body.Close())
+			p, err = f.Send(context.Background(), q)
+			is.NoErr(err)
+			is.Equal(p.Outcome, finder.Unknown)
+			is.Equal(came.Load(), int64(1+p.Tries))
+		})
+	}
+}
--- a/pkg/finder/send.go
+++ b/pkg/finder/send.go
@@ -24,8 +24,14 @@
 	keyBytes = 12
 )
 
-// idempotent lists the methods that may run twice.
-var idempotent = []string{http.MethodGet, http.MethodHead, http.MethodOptions}
+var (
+	// idempotent lists the methods that may run twice.
+	idempotent = []string{http.MethodGet, http.MethodHead, http.MethodOptions}
+
+	// replayHeaders make http.Transport repeat a request of any method that has no body.
+	// It does not know them in lower case, which means the same to entries.
+	replayHeaders = []string{headerKey, "X-Idempotency-Key"}
+)
 
 type (
 	// sentKey is an idempotency key, "" for none, and whether it is sent for the
@@ -156,11 +162,9 @@
 		q.Header.Set(headerDeadline, strconv.FormatInt(int64(max(end-f.Clock.Now(), 1)), 10))
 	}
 	if key.value != "" {
-		// In lower case the transport does not take it as leave to repeat the
-		// request by itself.
-		delete(q.Header, headerKey)
-		q.Header[strings.ToLower(headerKey)] = []string{key.value}
+		q.Header.Set(headerKey, key.value)
 	}
+	hideKeys(q.Header)
 	if key.first {
 		q.Header.Set(headerFirstTry, "1")
 	}
@@ -172,6 +176,16 @@
 	return response(a)
 }
 
+// hideKeys puts the names of replayHeaders in lower case.
+func hideKeys(h http.Header) {
+	for _, n := range replayHeaders {
+		if v, ok := h[n]; ok {
+			delete(h, n)
+			h[strings.ToLower(n)] = v
+		}
+	}
+}
+
 func bodyOf(b []byte) io.Reader {
 	if len(b) == 0 {
 		return http.NoBody
