finder: a transport that reports nothing leaves requests in doubt

Callers could see: a POST sent under four keys, each of which runs, through an HTTP client whose transport is not net/http's and loses the answer. The finder is made to be embedded.

Cause: "no head was written" was concluded from a hook that was never called. Transports that don't support httptrace call none.

Change: a request without an answer did not run if its head was not written and the transport is http.Transport, or one that has called a hook before. Else it is unknown and keeps its key.

TestUnsentRequestDidNotRun holds before and after: what http.Transport refuses before it opens a connection is still known not to have run.

--- a/pkg/finder/finder.go
+++ b/pkg/finder/finder.go
@@ -54,7 +54,8 @@
 		// Seeds are the caller addresses of some daemons, "ip:port".
 		Seeds []string
 		// HTTP sends requests. Nil means http.DefaultClient. Its CheckRedirect is not
-		// used: redirects are passed on as answers.
+		// used: redirects are passed on as answers. A transport that does not support
+		// httptrace leaves each request without an answer unknown.
 		HTTP  *http.Client
 		Clock timekeeper.Clock
 
--- a/pkg/finder/send.go
+++ b/pkg/finder/send.go
@@ -142,7 +142,9 @@
 }
 
 func (f *Finder) sendTo(ctx context.Context, e Entry, r Request, key sentKey, end timekeeper.Millis) Response {
+	client := f.client()
 	var p progress
+	p.reported.Store(reports(client.Transport))
 	q, err := http.NewRequestWithContext(p.watch(ctx), r.Method, "http://"+e.Address+r.Target, bodyOf(r.Body))
 	if err != nil {
 		return Response{Outcome: NotRun, Reason: err.Error()}
@@ -168,7 +170,7 @@
 	if key.first {
 		q.Header.Set(headerFirstTry, "1")
 	}
-	a, err := f.client().Do(q)
+	a, err := client.Do(q)
 	f.avoided.note(e.Address, err, f.Clock.Now())
 	if err != nil {
 		return Response{Outcome: p.outcome(), Reason: err.Error()}
