commander: a refusal by another daemon leaves a lost change in doubt

The first daemon loses its answer, the next refuses for what only it sees (its guard, its tokens), and the refusal was printed as the outcome of all tries.

Change: after a lost answer each failure is "outcome unknown" with the change's id, except a conflict: the change that stands in the way has a number, and whoever makes ours must pass it.

Evidence: TestRefusalElsewhereLeavesDoubt fails before (exit code 2 in place of 4, three of its four cases); three of three runs pass with it.

--- a/internal/process/commander/client.go
+++ b/internal/process/commander/client.go
@@ -177,13 +177,16 @@
 	}
 }
 
-// ended says what an error means for a change of which a try may have arrived.
+// ended says what an error means for a change of which a try may have arrived. Another
+// daemon's refusal says nothing of that try, except a conflict: the daemon that made it has
+// read the log up to the change that stands in the way.
 func (c *client) ended(err error, lost bool, q operator.ChangeRequest) error {
-	if lost && open(err) {
-		return failure{ExitUnknown, fmt.Sprintf(
-			"outcome unknown: the answer was lost (%v)\nlook for change id %s in `gullvale settings log`", err, q.ID)}
+	var f failure
+	if err == nil || !lost || errors.As(err, &f) && f.code == ExitConflict {
+		return err
 	}
-	return err
+	return failure{ExitUnknown, fmt.Sprintf(
+		"outcome unknown: the answer was lost (%v)\nlook for change id %s in `gullvale settings log`", err, q.ID)}
 }
 
 // open tells whether an error leaves the outcome of an earlier try open.
--- /dev/null
+++ b/internal/process/commander/lost_test.go
@@ -0,0 +1,46 @@
+package commander_test
+
+import (
+	"context"
+	"encoding/json"
+	"net/http"
+	"net/http/httptest"
+	"testing"
+
+	"github.com/matryer/is"
+
+	"github.com/gullvale/gullvale/internal/process/commander"
+	"github.com/gullvale/gullvale/internal/process/operator"
+	"github.com/gullvale/gullvale/pkg/recorder"
+)
+
+// TestRefusalElsewhereLeavesDoubt guards against a change called refused that the daemon
+// asked first has made, whose answer was lost: its operator would ask for it again.
+func TestRefusalElsewhereLeavesDoubt(t *testing.T) {
+	for _, c := range []struct {
+		name     string
+		status   int
+		answer   operator.ErrorAnswer
+		exitCode int
+	}{
+		{"Unsafe", http.StatusUnprocessableEntity, operator.ErrorAnswer{Failure: operator.FailureUnsafe}, commander.ExitUnknown},
+		{"Input", http.StatusBadRequest, operator.ErrorAnswer{Failure: operator.FailureInput}, commander.ExitUnknown},
+		{"NotAllowed", http.StatusForbidden, operator.ErrorAnswer{}, commander.ExitUnknown},
+		{"Conflict", http.StatusConflict, operator.ErrorAnswer{Failure: operator.FailureConflict, Theirs: &recorder.Change{}}, commander.ExitConflict},
+	} {
+		t.Run(c.name, func(t *testing.T) {
+			is := is.New(t)
+			lost := httptest.NewServer(http.HandlerFunc(func(http.ResponseWriter, *http.Request) {
+				panic(http.ErrAbortHandler)
+			}))
+			defer lost.Close()
+			refuses := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, _ *http.Request) {
+				w.WriteHeader(c.status)
+				_ = json.NewEncoder(w).Encode(c.answer)
+			}))
+			defer refuses.Close()
+			first, second := lost.Listener.Addr().String(), refuses.Listener.Addr().String()
+			is.Equal(commander.Change(context.Background(), first, second), c.exitCode)
+		})
+	}
+}
