storer: a refused connection leaves a written call in doubt

Callers could see: "platform unreachable" of a write that the platform has taken, if its answer redirects to an address that is not reached.

Change: a call reached nobody only if its head was never written.

Evidence: TestRefusedRedirectLeavesDoubt fails before, five of five runs pass with it. TestUnreachedWriteDidNotArrive holds before and after.

--- a/pkg/storer/client.go
+++ b/pkg/storer/client.go
@@ -7,6 +7,7 @@
 	"encoding/json"
 	"io"
 	"net/http"
+	"net/http/httptrace"
 	"net/url"
 	"strconv"
 	"strings"
@@ -207,7 +208,8 @@
 func (c *Client) Call(q *http.Request, timeout timekeeper.Millis) (*http.Response, []byte, error) {
 	ctx, patience := c.patience(q.Context(), timeout)
 	defer patience.stop()
-	q = q.WithContext(ctx)
+	var wrote atomic.Bool
+	q = q.WithContext(httptrace.WithClientTrace(ctx, &httptrace.ClientTrace{WroteHeaders: func() { wrote.Store(true) }}))
 	rest := cmp.Or(c.Silence, silence).Duration()
 	if q.ContentLength > shortBody {
 		// What is read of a body may yet wait in the buffers of the connection.
@@ -218,6 +220,9 @@
 		do = httpc.DoRequest
 	}
 	p, err := do(q)
+	if err != nil && !wrote.Load() && isDial(err) {
+		return nil, nil, eris.Wrapf(&DialError{Cause: err}, "%s %s", q.Method, q.URL.Path)
+	}
 	if err != nil {
 		return nil, nil, c.failure(q, err, 0)
 	}
--- a/pkg/storer/outcome.go
+++ b/pkg/storer/outcome.go
@@ -67,13 +67,16 @@
 	return "unreachable"
 }
 
-// failure tells a call that certainly did not arrive from one that may have, and one
-// that was given up, after some bytes of its answer, from one that was broken off.
-func (c *Client) failure(q *http.Request, err error, read int) error {
+// isDial tells whether a connection was not made. A call that was written before may have
+// arrived all the same: a redirect and a repeat dial again.
+func isDial(err error) bool {
 	var op *net.OpError
-	if errors.As(err, &op) && op.Op == "dial" {
-		return eris.Wrapf(&DialError{Cause: err}, "%s %s", q.Method, q.URL.Path)
-	}
+	return errors.As(err, &op) && op.Op == "dial"
+}
+
+// failure is the error of a call that may have arrived: one that was given up, after some
+// bytes of its answer, or one that was broken off.
+func (c *Client) failure(q *http.Request, err error, read int) error {
 	outcome := ErrUnreachable
 	if q.Method != http.MethodGet {
 		outcome = ErrUnknown
