finder: a caller doesn't wait for ever at an entry that stands still

Callers saw: no answer for as long as an entry's process stood still, whatever deadline they gave: only entries kept it.

Cause: the finder sent the deadline to the entry and set none itself.

Change: the head of an answer is waited for until a second after the deadline; the entry answers at the deadline itself if it can. What was sent by then is unknown, and not asked for again. The body of an answer may take longer, as before.

--- a/pkg/finder/send.go
+++ b/pkg/finder/send.go
@@ -170,7 +170,7 @@
 	if key.first {
 		q.Header.Set(headerFirstTry, "1")
 	}
-	a, err := client.Do(q)
+	a, err := do(client, q, f.patience(end))
 	f.avoided.note(e.Address, err, f.Clock.Now())
 	if err != nil {
 		return Response{Outcome: p.outcome(), Reason: err.Error()}
--- a/pkg/finder/silent_test.go
+++ b/pkg/finder/silent_test.go
@@ -6,6 +6,7 @@
 	"errors"
 	"net/http"
 	"net/http/httptest"
+	"strings"
 	"testing"
 
 	"github.com/matryer/is"
@@ -24,7 +25,7 @@
 
 func (s *silent) RoundTrip(r *http.Request) (*http.Response, error) {
 	if r.URL.Path != "/Lookup" {
-		s.keys = append(s.keys, r.Header["idempotency-key"][0])
+		s.keys = append(s.keys, r.Header[strings.ToLower("Idempotency-Key")][0])
 		return nil, errSilent
 	}
 	w := httptest.NewRecorder()
