--- a/test/loss_test.go
+++ b/test/loss_test.go
@@ -30,20 +30,30 @@
 
 // lose ends everything in the place at once.
 func (p *place) lose() {
+	p.loseUpstream()
+	p.daemon.end()
+}
+
+func (p *place) loseUpstream() {
 	p.http.Listener.Close()
 	p.http.CloseClientConnections()
-	p.daemon.end()
 }
 
 // startPlaces starts failure domains and gives each a block of callers.
 func startPlaces(t *testing.T, slots int, names ...string) []*place {
+	t.Helper()
+	return startPlacesServing(t, slots, 5, names...)
+}
+
+// startPlacesServing is startPlaces with upstreams that take a mean time in milliseconds.
+func startPlacesServing(t *testing.T, slots int, mean float64, names ...string) []*place {
 	t.Helper()
 	address := startPlatform(t)
 	var all []*place
 	var tree, blocks strings.Builder
 	for i, n := range names {
 		region, domain, _ := strings.Cut(n, "/")
-		s := &server.Server{Slots: slots, ServiceMillis: 5}
+		s := &server.Server{Slots: slots, ServiceMillis: mean}
 		p := &place{region: region, domain: domain, block: fmt.Sprintf("10.%d.0.1", i), server: s, http: httptest.NewServer(s), load: &caller.Load{}}
 		t.Cleanup(p.http.Close)
 		p.daemon = startDaemon(t, daemonOptions{name: region + "-" + domain, region: region, domain: domain, platform: address})
@@ -83,6 +93,12 @@
 // callers has the callers of each place ask until the test ends. stop returns when
 // no request begins any more.
 func callers(t *testing.T, rate float64, all []*place) (stop func()) {
+	t.Helper()
+	return callersPosting(t, rate, 0.3, all)
+}
+
+// callersPosting is callers with a part of the requests that must not run twice.
+func callersPosting(t *testing.T, rate, part float64, all []*place) (stop func()) {
 	t.Helper()
 	var seeds []string
 	for _, p := range all {
@@ -98,7 +114,7 @@
 	for i, p := range all {
 		f := &finder.Finder{Seeds: seeds, HTTP: caller.NewClient(nil)}
 		s := caller.Stream{
-			Class: "short", Service: "keg-ledger", Rate: rate, PostPart: 0.3, Bytes: 500, Deadline: 5000,
+			Class: "short", Service: "keg-ledger", Rate: rate, PostPart: part, Bytes: 500, Deadline: 5000,
 			Blocks: []string{p.block}, Finder: func(string) *finder.Finder { return f }, Seed: uint64(i),
 		}
 		running.Go(func() { p.load.Run(ctx, s) })
