dispatcher, advisor: announcements in responses are read, logged and counted

Logs could not tell whether a late request went to an upstream whose announcement had not been read, or whether what had been read was lost again. advisor reads what any response says of its upstream: that it leaves, and with a 503 how long it wants a pause. The tracker keeps it, a line 'upstream announcement' and the counter upstream_announcements show what is new, sent_after_announcement counts requests that are sent in spite of it. Responses to earlier requests on the same connection count too. No decision uses any of it yet.

Ruled out: reading it from the forwarded response only, since responses that are retried, skipped or refused carry it as well.

--- a/internal/connection/sender/send.go
+++ b/internal/connection/sender/send.go
@@ -72,6 +72,9 @@
 		// Check, if not nil, reports right before sending whether the request may
 		// still be sent.
 		Check func() bool
+		// OnHead, if not nil, is called with the status and the header of each final
+		// response on the connection, including responses to earlier requests.
+		OnHead func(status int, h http.Header)
 	}
 
 	// Response is a response. Read reads its body. The caller must call Close.
@@ -135,6 +138,9 @@
 		if err != nil {
 			return classifyError(err)
 		}
+		if q.OnHead != nil {
+			q.OnHead(p.StatusCode, p.Header)
+		}
 		if q.EchoField == "" || p.Header.Get(q.EchoField) == q.Echo {
 			r.setHead(p)
 			return nil
--- a/internal/connection/tracker/upstream.go
+++ b/internal/connection/tracker/upstream.go
@@ -61,6 +61,8 @@
 		excludedUntil timekeeper.Millis
 
 		limiter *rate.Limiter
+
+		announced Announcement
 	}
 )
 
--- a/internal/process/fronter/fronter.go
+++ b/internal/process/fronter/fronter.go
@@ -162,6 +162,7 @@
 		AcquireWarmupRoom: f.acquireWarmupRoom,
 		Homes:             o.Homes,
 		OnTerminated:      o.OnTerminated,
+		OnAnnouncement:    f.logAnnouncement,
 		Quarantine:        o.Quarantine,
 		Limits:            o.Limits,
 		Retries: &dispatcher.Retries{
@@ -440,6 +441,17 @@
 	}).Info("connection lost")
 }
 
+// logAnnouncement logs that an upstream announced that it leaves or wants a pause.
+func (f *Fronter) logAnnouncement(a *dispatcher.Announcement) {
+	if !f.mayLog() {
+		return
+	}
+	f.options.Log.WithFields(logrus.Fields{
+		"id": a.ID, "service": a.Upstream.Service, "upstream": a.Upstream.ID, "site": a.Upstream.Site,
+		"status": a.Status, "leaving": a.Advice.Leaving, "pause": int64(a.Advice.Pause),
+	}).Info("upstream announcement")
+}
+
 // logDecision logs a completed request.
 func (f *Fronter) logDecision(e *dispatcher.Decision) {
 	if !f.mayLog() {
--- a/internal/request/dispatcher/answer.go
+++ b/internal/request/dispatcher/answer.go
@@ -212,7 +212,7 @@
 			h[http.CanonicalHeaderKey(n)] = v
 		}
 	}
-	for _, n := range []string{f.NotRun, f.Proof, f.Load, f.Expected, f.Deadline, f.Credential, f.Organisation} {
+	for _, n := range []string{f.NotRun, f.Proof, f.Load, f.Leaving, f.Expected, f.Deadline, f.Credential, f.Organisation} {
 		h.Del(n)
 	}
 	return h
--- a/internal/request/dispatcher/dispatcher.go
+++ b/internal/request/dispatcher/dispatcher.go
@@ -37,6 +37,8 @@
 		Proof string
 		// Load reports running and waiting requests and slots.
 		Load string
+		// Leaving marks a response of an upstream that accepts no new requests.
+		Leaving string
 		// Credential is the API key of an organisation. It is never sent to upstreams.
 		Credential string
 		// Organisation names the organisation that sent the request. Only the entry sets it.
@@ -88,6 +90,9 @@
 		PipelineWait func(http.ResponseWriter) timekeeper.Millis
 		// OnDecision is called with the decision on each request. It may be nil.
 		OnDecision func(*Decision)
+		// OnAnnouncement is called when the response to a request announces that an upstream
+		// leaves or wants a pause, unless that is known. It may be nil.
+		OnAnnouncement func(*Announcement)
 		// OnLoss is called for each connection that was lost during a request, with the state of
 		// its upstream. It may be nil.
 		OnLoss func(*Loss)
--- a/internal/request/dispatcher/dispatcher_test.go
+++ b/internal/request/dispatcher/dispatcher_test.go
@@ -25,7 +25,7 @@
 
 var fields = dispatcher.Fields{
 	RequestID: "X-Id", Deadline: "X-Deadline", Key: "X-Key", Expected: "X-Expected",
-	NotRun: "X-Not-Run", Proof: "X-Proof", Load: "X-Load",
+	NotRun: "X-Not-Run", Proof: "X-Proof", Load: "X-Load", Leaving: "X-Leaving",
 }
 
 // harness is a dispatcher with a server in front of it and scripted upstreams.
--- a/internal/request/dispatcher/send.go
+++ b/internal/request/dispatcher/send.go
@@ -2,6 +2,7 @@
 
 import (
 	"errors"
+	"net/http"
 	"strconv"
 	"time"
 
@@ -38,7 +39,7 @@
 	t := x.d.Upstreams.StateOf(u)
 	t.Begin()
 	defer t.End()
-	resp, err := t.Pool.Do(x.r.Context(), x.newRequest(u))
+	resp, err := t.Pool.Do(x.r.Context(), x.newRequest(u, t))
 	switch {
 	case errors.Is(err, sender.ErrWithdrawn):
 		return false
@@ -67,7 +68,7 @@
 	x.d.Meter.Count("upstream_unreached", x.labels(""))
 }
 
-func (x *exchange) newRequest(u *cataloger.Upstream) *sender.Request {
+func (x *exchange) newRequest(u *cataloger.Upstream, t *tracker.Upstream) *sender.Request {
 	now := x.d.Clock.Now()
 	h := x.header
 	if f := x.d.Fields.Deadline; f != "" {
@@ -89,7 +90,8 @@
 		Echo:         x.r.Header.Get(x.d.Fields.RequestID),
 		ConnDeadline: time.Now().Add((x.expiresAt - now).Duration()),
 		DialTimeout:  min(dialTimeout, max(x.expiresAt-now, 1)),
-		Check:        func() bool { return x.maySendNow(u) },
+		Check:        func() bool { return x.maySendNow(u, t) },
+		OnHead:       func(status int, h http.Header) { x.recordAdvice(u, t, status, h) },
 	}
 	if !x.route.Kind.Retryable() {
 		q.MaxIdle = maxIdleForOnce
@@ -99,13 +101,14 @@
 
 // maySendNow is called right before sending. It reports whether the upstream still accepts
 // work, the configuration is unchanged, and the request is not in quarantine.
-func (x *exchange) maySendNow(u *cataloger.Upstream) bool {
+func (x *exchange) maySendNow(u *cataloger.Upstream, t *tracker.Upstream) bool {
 	if x.d.Catalog().Usable(u.Incarnation()) == nil {
 		return false
 	}
 	if x.d.Config() != x.config || x.quarantinedNow() {
 		return false
 	}
+	x.countSentAfter(t)
 	if x.sentAfter < 0 {
 		x.sentAfter = x.d.Clock.Now() - x.arrivedAt
 	}
