--- a/internal/standin/server/server.go
+++ b/internal/standin/server/server.go
@@ -68,6 +68,8 @@
 		draining       atomic.Bool
 		drainStartedAt atomic.Int64
 		late           atomic.Int64
+		// pausedUntil is when a pause ends, in nanoseconds since the Unix epoch.
+		pausedUntil atomic.Int64
 
 		lock         sync.Mutex
 		random       *rand.Rand
@@ -121,6 +123,11 @@
 	s.draining.Store(on)
 }
 
+// Pause refuses all requests for a time, which the refusals state as Retry-After.
+func (s *Server) Pause(m timekeeper.Millis) {
+	s.pausedUntil.Store(time.Now().Add(m.Duration()).UnixNano())
+}
+
 // Counts returns the counters and a copy of the journal.
 func (s *Server) Counts() Counts {
 	s.lock.Lock()
@@ -194,12 +201,14 @@
 	if s.draining.Load() && time.Now().UnixNano()-s.drainStartedAt.Load() > int64(lateThreshold) {
 		s.late.Add(1)
 	}
+	if left := s.pausedUntil.Load() - time.Now().UnixNano(); left > 0 {
+		w.Header().Set("Retry-After", strconv.FormatFloat(time.Duration(left).Seconds(), 'f', -1, 64))
+		s.refuse(w)
+		return
+	}
 	if n := s.busy.Add(1); n > int64(s.Slots) {
 		s.busy.Add(-1)
-		s.shed.Add(1)
-		s.setDrainHeader(w)
-		w.Header().Set(HeaderNotRun, "1")
-		w.WriteHeader(http.StatusServiceUnavailable)
+		s.refuse(w)
 		return
 	}
 	var once sync.Once
@@ -220,6 +229,14 @@
 	s.writeResponse(w, r, token, body, release)
 }
 
+// refuse responds that the request is not run.
+func (s *Server) refuse(w http.ResponseWriter) {
+	s.shed.Add(1)
+	s.setDrainHeader(w)
+	w.Header().Set(HeaderNotRun, "1")
+	w.WriteHeader(http.StatusServiceUnavailable)
+}
+
 // updatePeak raises the peak to the number of busy slots.
 func (s *Server) updatePeak() {
 	for {
