cataloger, dispatcher, heartbeater: any response that announces leaving ends sending

What callers saw: nothing yet, but requests went to an upstream 2.7 and 3.6 s after a response had told the VM that it leaves (bound 2.5 s), and would have been cut off when it exits. With the store down no VM learnt of it for 13 s.

Cause: only the store's entry told of a leaving upstream. Its responses say so too, and nothing read them. Class: what a response says of its sender was dropped with the exchange.

Change: any final response on a connection to an upstream counts, also refusals, failures, responses that are retried, skipped or answered elsewhere, and 421, which speaks of the upstreams listed at that address when the request was sent. The catalog keeps the departure by incarnation and address, apart from the entry, so that neither an earlier response, a later report, a complete list nor an entry that is removed and returns makes it usable again. Requests that were chosen before are withdrawn right before sending.

--- a/internal/connection/tracker/upstream.go
+++ b/internal/connection/tracker/upstream.go
@@ -62,7 +62,7 @@
 
 		limiter *rate.Limiter
 
-		announced Announcement
+		pausedUntil timekeeper.Millis
 	}
 )
 
--- a/internal/process/fronter/fronter.go
+++ b/internal/process/fronter/fronter.go
@@ -106,6 +106,9 @@
 		// OnTerminated is called with an incarnation of an upstream when another one
 		// responds at its address. It may be nil.
 		OnTerminated func(cataloger.Incarnation)
+		// OnLeaving is called with upstreams whose responses announce that they leave, once
+		// for each. It may be nil.
+		OnLeaving func([]cataloger.Departure)
 		// Homes maps keys to their home upstreams.
 		Homes *assigner.Assigner
 		// Quarantine tracks requests that crash their upstreams.
@@ -163,6 +166,7 @@
 		Homes:             o.Homes,
 		OnTerminated:      o.OnTerminated,
 		OnAnnouncement:    f.logAnnouncement,
+		MarkLeaving:       f.markLeaving,
 		Quarantine:        o.Quarantine,
 		Limits:            o.Limits,
 		Retries: &dispatcher.Retries{
@@ -187,6 +191,23 @@
 	}
 }
 
+// MarkLeaving records another VM's report of upstreams that leave, so that they get no more
+// requests.
+func (f *Fronter) MarkLeaving(list []cataloger.Departure) {
+	for _, d := range f.Catalog.MarkLeaving(list...) {
+		f.options.Log.WithFields(logrus.Fields{"upstream": d.ID, "address": d.Address}).Info("upstream reported as leaving")
+	}
+}
+
+// markLeaving records upstreams whose responses announce that they leave.
+func (f *Fronter) markLeaving(list ...cataloger.Departure) []cataloger.Departure {
+	added := f.Catalog.MarkLeaving(list...)
+	if len(added) > 0 && f.options.OnLeaving != nil {
+		f.options.OnLeaving(added)
+	}
+	return added
+}
+
 // Config returns the configuration in force, or nil if none is known.
 func (f *Fronter) Config() *matcher.Config {
 	return f.config.Load()
--- a/internal/process/heartbeater/heartbeater.go
+++ b/internal/process/heartbeater/heartbeater.go
@@ -122,6 +122,9 @@
 		// OnTerminated is called with each incarnation of an upstream that another member
 		// announced as terminated. May be nil.
 		OnTerminated func(cataloger.Incarnation)
+		// OnLeaving is called with the upstreams that another member announced as leaving. May
+		// be nil.
+		OnLeaving func([]cataloger.Departure)
 		// Quarantine holds the requests suspected of crashing upstreams, which members
 		// share. Nil disables sharing. OnSuspects is called with the changes learned from
 		// other members; it may be nil.
@@ -248,6 +251,9 @@
 	if d.Ended != nil {
 		b.handleTerminated(d.Ended)
 	}
+	if d.Departures != nil {
+		b.handleLeaving(d.Departures)
+	}
 	if d.Suspects != nil {
 		b.handleSuspects(d.Suspects)
 	}
--- a/internal/process/heartbeater/traffic.go
+++ b/internal/process/heartbeater/traffic.go
@@ -11,6 +11,7 @@
 	HomesPurpose      Purpose = "homes"
 	AskPurpose        Purpose = "ask"
 	TerminatedPurpose Purpose = "ended"
+	LeavingPurpose    Purpose = "leaving"
 	SuspectPurpose    Purpose = "suspects"
 	TokensPurpose     Purpose = "tokens"
 	UnknownPurpose    Purpose = "unknown datagram"
@@ -42,6 +43,8 @@
 		return AskPurpose
 	case d.Ended != nil:
 		return TerminatedPurpose
+	case d.Departures != nil:
+		return LeavingPurpose
 	case d.Suspects != nil:
 		return SuspectPurpose
 	case d.Tokens != nil:
--- a/internal/request/dispatcher/announcement.go
+++ b/internal/request/dispatcher/announcement.go
@@ -27,7 +27,13 @@
 // recordAdvice records what the head of a response announces about u.
 func (x *exchange) recordAdvice(u *cataloger.Upstream, t *tracker.Upstream, status int, h http.Header) {
 	a := advisor.Read(x.d.Fields.Leaving, status, h)
-	if a == (advisor.Advice{}) || !t.RecordAdvice(a) {
+	if a.Leaving && !x.markLeaving(u, status) {
+		a.Leaving = false
+	}
+	if a.Pause > 0 && !t.RecordPause(a.Pause) {
+		a.Pause = 0
+	}
+	if a == (advisor.Advice{}) {
 		return
 	}
 	if a.Leaving {
@@ -41,14 +47,25 @@
 	}
 }
 
-// countSentAfter counts a request that is sent to an upstream although it announced that it
-// leaves or wants a pause.
-func (x *exchange) countSentAfter(t *tracker.Upstream) {
-	a := t.Announced()
-	if a.Leaving {
-		x.countAnnouncement("sent_after_announcement", leavingKind)
+// markLeaving records that the sender of a response leaves, and reports whether that was not
+// known. A response from another incarnation than the expected one speaks of the upstreams that
+// were listed at the address when the request was sent.
+func (x *exchange) markLeaving(u *cataloger.Upstream, status int) bool {
+	if x.d.MarkLeaving == nil {
+		return false
 	}
-	if a.Paused(x.d.Clock.Now()) {
+	list := []cataloger.Departure{u.Departure()}
+	if status == http.StatusMisdirectedRequest {
+		for _, other := range x.sentAgainst.At(u.Address) {
+			list = append(list, other.Departure())
+		}
+	}
+	return len(x.d.MarkLeaving(list...)) > 0
+}
+
+// countSentAfter counts a request that is sent to an upstream although it asked for a pause.
+func (x *exchange) countSentAfter(t *tracker.Upstream) {
+	if t.Paused() {
 		x.countAnnouncement("sent_after_announcement", pauseKind)
 	}
 }
--- a/internal/request/dispatcher/announcement_test.go
+++ b/internal/request/dispatcher/announcement_test.go
@@ -1,6 +1,8 @@
 package dispatcher_test
 
 import (
+	"fmt"
+	"io"
 	"net/http"
 	"sync/atomic"
 	"testing"
@@ -9,7 +11,10 @@
 
 	"github.com/gullvale/gullvale/internal/connection/advisor"
 	"github.com/gullvale/gullvale/internal/request/dispatcher"
+	"github.com/gullvale/gullvale/internal/request/placer"
+	"github.com/gullvale/gullvale/internal/version/cataloger"
 	"github.com/gullvale/gullvale/internal/version/matcher"
+	"github.com/gullvale/gullvale/pkg/hasher"
 )
 
 // announcesLeaving adds the announcement to the response of serve.
@@ -53,3 +58,70 @@
 	s.do(http.MethodGet, "id", nil)
 	is.True(pauses.Load() > 0)
 }
+
+// TestEveryResponseAnnouncesLeaving checks that an upstream gets no more requests after any
+// response that announces that it leaves, whatever becomes of the response.
+func TestEveryResponseAnnouncesLeaving(t *testing.T) {
+	const extra = "HTTP/1.1 200 OK\r\nX-Id: earlier\r\nX-Leaving: 1\r\nContent-Length: 0\r\n\r\n" +
+		"HTTP/1.1 200 OK\r\nX-Id: first\r\nX-Proof: p\r\nContent-Length: 0\r\n\r\n"
+	tests := []struct {
+		name  string
+		serve http.HandlerFunc
+	}{
+		{"answered", announcesLeaving(succeeds)},
+		{"refused", announcesLeaving(refuses)},
+		{"failed", announcesLeaving(fails)},
+		{"not found", announcesLeaving(func(w http.ResponseWriter, _ *http.Request) { w.WriteHeader(http.StatusNotFound) })},
+		{"of unknown origin", announcesLeaving(omitsProof)},
+		{"truncated", announcesLeaving(truncates)},
+		{"to an earlier request", func(w http.ResponseWriter, _ *http.Request) {
+			conn, _, err := w.(http.Hijacker).Hijack()
+			if err != nil {
+				t.Error(err)
+				return
+			}
+			_, _ = io.WriteString(conn, extra)
+			_ = conn.Close()
+		}},
+	}
+	for _, tt := range tests {
+		t.Run(tt.name, func(t *testing.T) {
+			is := is.New(t)
+			s := newHarness(t, matcher.Idempotent)
+			s.add(t, "u1", tt.serve)
+			s.do(http.MethodGet, "first", nil)
+			is.True(s.ran("first") > 0)
+			p, _ := s.do(http.MethodGet, "second", nil)
+			is.Equal(p.StatusCode, http.StatusServiceUnavailable)
+			is.Equal(s.ran("second"), 0)
+		})
+	}
+}
+
+// TestMisdirectedResponseAnnouncesItsSender guards against sending to the upstream that now has an
+// address, after it announced that it leaves in the refusal of a request for the former one.
+func TestMisdirectedResponseAnnouncesItsSender(t *testing.T) {
+	is := is.New(t)
+	s := newHarness(t, matcher.Idempotent)
+	l := s.add(t, "former", announcesLeaving(func(w http.ResponseWriter, r *http.Request) {
+		if r.Header.Get(fields.Expected) == "present" {
+			succeeds(w, r)
+			return
+		}
+		w.WriteHeader(http.StatusMisdirectedRequest)
+	}))
+	present := cataloger.Upstream{ID: "present", Service: "s", Address: l.Listener.Addr().String(), Site: "east/a", Slots: 4}
+	s.catalog.Put(present)
+	// Each key prefers one of the two.
+	key := ""
+	for n := 0; key == ""; n++ {
+		k := fmt.Sprint("k", n)
+		all := s.catalog.Current().ByService("s")
+		route := s.Config().Match("h.example", "/x")
+		if placer.Candidates(nil, hasher.Mix(hasher.OfString(k), route.Hash()), all, func(string) bool { return true })[0].ID == "former" {
+			key = k
+		}
+	}
+	s.do(http.MethodGet, "id", func(r *http.Request) { r.Header.Set(fields.Key, key) })
+	is.True(s.catalog.Current().Usable(present.Incarnation()) == nil)
+}
--- a/internal/request/dispatcher/dispatcher.go
+++ b/internal/request/dispatcher/dispatcher.go
@@ -73,6 +73,10 @@
 		// OnTerminated is called when another incarnation responds at an upstream's address. It
 		// may be nil.
 		OnTerminated func(cataloger.Incarnation)
+		// MarkLeaving records that upstreams announced that they leave, so that the catalog no
+		// longer holds them as usable, and returns those of which that was not known. Nil
+		// ignores such announcements.
+		MarkLeaving func(...cataloger.Departure) []cataloger.Departure
 		// Quarantine tracks requests that crash their upstreams and refuses those in
 		// quarantine. Nil disables it.
 		Quarantine *quarantiner.Quarantiner
--- a/internal/request/dispatcher/dispatcher_test.go
+++ b/internal/request/dispatcher/dispatcher_test.go
@@ -54,7 +54,8 @@
 		Upstreams: &tracker.Set{Dial: func(ctx context.Context, a string) (net.Conn, error) {
 			return new(net.Dialer).DialContext(ctx, "tcp", a)
 		}},
-		Fields: fields,
+		Fields:      fields,
+		MarkLeaving: s.catalog.MarkLeaving,
 		Retries: &dispatcher.Retries{Limits: func() dispatcher.RetryLimits {
 			return dispatcher.RetryLimits{Ratio: 0.2, Burst: s.burst, Window: 10_000}
 		}},
--- a/internal/request/dispatcher/exchange.go
+++ b/internal/request/dispatcher/exchange.go
@@ -105,7 +105,9 @@
 	// observation is what was known of the request as a suspect before its last attempt.
 	observation quarantiner.Observation
 
-	attempted []cataloger.Incarnation
+	// sentAgainst is the snapshot of the catalog when the last attempt was sent.
+	sentAgainst *cataloger.Snapshot
+	attempted   []cataloger.Incarnation
 	// misdirected is how many of the attempted incarnations had terminated: another one
 	// responded in their place and ran nothing.
 	misdirected int
--- a/internal/request/dispatcher/send.go
+++ b/internal/request/dispatcher/send.go
@@ -102,7 +102,8 @@
 // maySendNow is called right before sending. It reports whether the upstream still accepts
 // work, the configuration is unchanged, and the request is not in quarantine.
 func (x *exchange) maySendNow(u *cataloger.Upstream, t *tracker.Upstream) bool {
-	if x.d.Catalog().Usable(u.Incarnation()) == nil {
+	x.sentAgainst = x.d.Catalog()
+	if x.sentAgainst.Usable(u.Incarnation()) == nil {
 		return false
 	}
 	if x.d.Config() != x.config || x.quarantinedNow() {
--- a/internal/version/cataloger/catalog.go
+++ b/internal/version/cataloger/catalog.go
@@ -63,7 +63,9 @@
 		// belongs to a former incarnation.
 		latestStart map[UpstreamID]timekeeper.Millis
 		evacuated   map[string]bool
-		current     atomic.Pointer[Snapshot]
+		// departures are the upstreams that announced in a response that they leave.
+		departures map[Departure]bool
+		current    atomic.Pointer[Snapshot]
 		// openBatches is the number of batches in progress. dirty reports whether one
 		// of them has changed anything.
 		openBatches int
@@ -144,13 +146,19 @@
 func (c *Catalog) Put(u Upstream) (current bool) {
 	c.update(func() {
 		if current = c.recordStart(u); current {
-			u.setHash()
-			c.upstreams[u.ID] = &u
+			c.put(u)
 		}
 	})
 	return current
 }
 
+// put records the reported state of an upstream. The caller must hold c.lock.
+func (c *Catalog) put(u Upstream) {
+	u.setHash()
+	u.Leaving = u.Leaving || c.departures[u.Departure()]
+	c.upstreams[u.ID] = &u
+}
+
 // recordStart records the start time of an upstream and reports whether no later one is
 // known. The caller must hold c.lock.
 func (c *Catalog) recordStart(u Upstream) bool {
@@ -189,8 +197,7 @@
 		c.upstreams = make(map[UpstreamID]*Upstream, len(all))
 		for _, u := range all {
 			if c.recordStart(u) {
-				u.setHash()
-				c.upstreams[u.ID] = &u
+				c.put(u)
 			} else if known := before[u.ID]; known != nil {
 				c.upstreams[u.ID] = known
 			}
@@ -265,9 +272,11 @@
 		c.upstreams = map[UpstreamID]*Upstream{}
 		c.latestStart = map[UpstreamID]timekeeper.Millis{}
 		c.evacuated = map[string]bool{}
+		c.departures = map[Departure]bool{}
 	}
 	f()
 	c.forgetStarts()
+	c.forgetDepartures()
 	if c.openBatches > 0 {
 		c.dirty = true
 		return
--- a/internal/version/cataloger/catalog_test.go
+++ b/internal/version/cataloger/catalog_test.go
@@ -104,3 +104,54 @@
 	is.True(c.Put(u))                        // its start time was dropped
 	is.True(!c.Put(incarnation(100, "a:1"))) // its upstream is still present
 }
+
+// TestDepartureOutlastsTheEntry guards against an upstream that gets requests again since the
+// store reports it as ready, or lists it again, after a response announced that it leaves.
+func TestDepartureOutlastsTheEntry(t *testing.T) {
+	is := is.New(t)
+	var c cataloger.Catalog
+	first, second := incarnation(100, "a:1"), incarnation(200, "a:1")
+	c.Put(first)
+	is.Equal(c.MarkLeaving(first.Departure()), []cataloger.Departure{first.Departure()})
+	is.Equal(len(c.MarkLeaving(first.Departure())), 0) // known
+	usable := func(u cataloger.Upstream) bool { return c.Current().Usable(u.Incarnation()) != nil }
+	is.True(!usable(first))
+	known, _ := c.Known("u1")
+	is.True(known.Leaving)
+	c.Put(first)
+	is.True(!usable(first))
+	c.Replace([]cataloger.Upstream{first})
+	is.True(!usable(first))
+	c.Remove("u1")
+	c.Put(first)
+	is.True(!usable(first))
+	c.Put(second)
+	is.True(usable(second)) // another incarnation
+
+	unreported := incarnation(0, "b:1")
+	unreported.ID = "u2"
+	c.MarkLeaving(unreported.Departure()) // before it is listed
+	c.Put(unreported)
+	is.True(!usable(unreported))
+	unreported.Address = "b:2"
+	c.Put(unreported)
+	is.True(usable(unreported)) // another incarnation that reports no start time either
+}
+
+func TestRemovedDeparturesAreBounded(t *testing.T) {
+	is := is.New(t)
+	var c cataloger.Catalog
+	kept := incarnation(1, "a:1")
+	c.Put(kept)
+	c.MarkLeaving(kept.Departure())
+	gone := upstream(10)
+	c.MarkLeaving(gone.Departure())
+	for i := range 3000 {
+		u := upstream(i + 11)
+		c.MarkLeaving(u.Departure())
+	}
+	c.Put(kept)
+	is.True(c.Current().Usable(kept.Incarnation()) == nil) // still listed
+	c.Put(gone)
+	is.True(c.Current().Usable(gone.Incarnation()) != nil) // dropped
+}
--- /dev/null
+++ b/internal/version/cataloger/departure.go
@@ -0,0 +1,73 @@
+package cataloger
+
+import (
+	"maps"
+	"slices"
+)
+
+// maxRemovedDepartures is the number of departures of removed upstreams that are kept. An entry
+// may return within seconds, after an outage of the store, and in that time a fleet of hundreds
+// of upstreams replaces some tens of them.
+const maxRemovedDepartures = 1000
+
+// Departure identifies an upstream that announced in a response that it leaves. Upstreams that
+// report no start time are distinguished by their addresses.
+type Departure struct {
+	Incarnation
+	Address string
+}
+
+// Departure returns what identifies u if it leaves.
+func (u *Upstream) Departure() Departure {
+	return Departure{u.Incarnation(), u.Address}
+}
+
+// MarkLeaving records that upstreams announced that they leave, and returns those of which it was
+// not known. An incarnation that leaves does not come back, so later reports of the store cannot
+// make it usable again, whether it is listed, not listed yet, or removed for some time.
+func (c *Catalog) MarkLeaving(list ...Departure) (added []Departure) {
+	if c.knowsLeaving(list) {
+		return nil
+	}
+	c.update(func() {
+		for _, d := range list {
+			if c.departures[d] {
+				continue
+			}
+			c.departures[d] = true
+			added = append(added, d)
+			if u := c.upstreams[d.ID]; u != nil && u.Departure() == d {
+				left := *u
+				left.Leaving = true
+				c.upstreams[d.ID] = &left
+			}
+		}
+	})
+	return added
+}
+
+// knowsLeaving reports whether all upstreams of a list are known to leave.
+func (c *Catalog) knowsLeaving(list []Departure) bool {
+	c.lock.Lock()
+	defer c.lock.Unlock()
+	return !slices.ContainsFunc(list, func(d Departure) bool { return !c.departures[d] })
+}
+
+// At returns the usable upstreams at an address.
+func (s *Snapshot) At(address string) (list []*Upstream) {
+	for _, u := range s.usable {
+		if u.Address == address {
+			list = append(list, u)
+		}
+	}
+	return list
+}
+
+// forgetDepartures drops the departures of removed upstreams once there are more than
+// maxRemovedDepartures.
+func (c *Catalog) forgetDepartures() {
+	if len(c.departures) <= len(c.upstreams)+maxRemovedDepartures {
+		return
+	}
+	maps.DeleteFunc(c.departures, func(d Departure, _ bool) bool { return c.upstreams[d.ID] == nil })
+}
