dispatcher, placer, tracker: no requests to an upstream in the pause that it asked for

Cause: the Retry-After of a refusal was dropped. A refusal with a low load was even a reason to try the same upstream again at once. Class: what a response says of its sender was dropped with the exchange.

Change: any 503 with Retry-After pauses its upstream for this VM. Its candidates' state and the check right before sending know of it, so that requests which waited for a dial are withdrawn. Paused candidates make room for the next by the hash, as those that are down do. If all that may run a request pause, the caller is refused at once with the end of the first pause and a random part of up to half of it. The upstream's own Retry-After is not handed to callers.

Ruled out: telling other VMs, since a pause is asked of one VM; ending it by a 200, since responses overtake each other. sent_after_announcement is gone, as nothing is sent in spite of an announcement any more.

--- a/internal/connection/tracker/announcement.go
+++ b/internal/connection/tracker/announcement.go
@@ -16,10 +16,11 @@
 	return true
 }
 
-// Paused reports whether the upstream wants no requests from this daemon now.
-func (u *Upstream) Paused() bool {
+// PauseLeft returns for how much longer the upstream wants no requests from this daemon, 0 if it
+// takes them.
+func (u *Upstream) PauseLeft() timekeeper.Millis {
 	now := u.clock.Now()
 	u.lock.Lock()
 	defer u.lock.Unlock()
-	return now < u.pausedUntil
+	return max(u.pausedUntil-now, 0)
 }
--- a/internal/connection/tracker/set.go
+++ b/internal/connection/tracker/set.go
@@ -43,11 +43,12 @@
 }
 
 // Sweep closes connections whose keep-alive time is over, and removes the
-// upstreams for which keep returns false.
+// upstreams for which keep returns false. A paused one is kept until its pause ends, since its
+// entry may return before that.
 func (s *Set) Sweep(keep func(cataloger.Incarnation) bool) {
 	s.upstreams.Range(func(k, v any) bool {
 		u := v.(*Upstream)
-		if !keep(k.(cataloger.Incarnation)) {
+		if !keep(k.(cataloger.Incarnation)) && u.PauseLeft() == 0 {
 			s.upstreams.Delete(k)
 			u.Pool.Close()
 			return true
--- a/internal/connection/tracker/upstream.go
+++ b/internal/connection/tracker/upstream.go
@@ -78,6 +78,7 @@
 		Reported: u.estimatedLoad(now),
 		Gone:     u.replaced,
 		Down:     now < u.downUntil,
+		Paused:   now < u.pausedUntil,
 		Failing:  u.failureShare > failureThreshold && now < u.excludedUntil,
 
 		FailShare:  u.failureShare,
--- a/internal/request/dispatcher/announcement.go
+++ b/internal/request/dispatcher/announcement.go
@@ -1,18 +1,25 @@
 package dispatcher
 
 import (
+	"math/rand/v2"
 	"net/http"
 
 	"github.com/gullvale/gullvale/internal/connection/advisor"
 	"github.com/gullvale/gullvale/internal/connection/tracker"
 	"github.com/gullvale/gullvale/internal/process/measurer"
 	"github.com/gullvale/gullvale/internal/version/cataloger"
+	"github.com/gullvale/gullvale/pkg/timekeeper"
 )
 
-// Kinds of announcements, as labels of metrics.
 const (
+	// Kinds of announcements, as labels of metrics.
 	leavingKind = "leaving"
 	pauseKind   = "pause"
+
+	// minReturnSpread and maxReturnSpread bound the time over which the return of callers is
+	// spread after a pause. In between, it is half of what is left of the pause.
+	minReturnSpread = 250 * timekeeper.Millis(1)
+	maxReturnSpread = 2 * timekeeper.Second
 )
 
 // Announcement is what a response announced about its upstream.
@@ -30,6 +37,7 @@
 	if a.Leaving && !x.markLeaving(u, status) {
 		a.Leaving = false
 	}
+	x.sawPause = x.sawPause || a.Pause > 0
 	if a.Pause > 0 && !t.RecordPause(a.Pause) {
 		a.Pause = 0
 	}
@@ -37,10 +45,10 @@
 		return
 	}
 	if a.Leaving {
-		x.countAnnouncement("upstream_announcements", leavingKind)
+		x.countAnnouncement(leavingKind)
 	}
 	if a.Pause > 0 {
-		x.countAnnouncement("upstream_announcements", pauseKind)
+		x.countAnnouncement(pauseKind)
 	}
 	if x.d.OnAnnouncement != nil {
 		x.d.OnAnnouncement(&Announcement{ID: x.r.Header.Get(x.d.Fields.RequestID), Upstream: *u, Status: status, Advice: a})
@@ -63,13 +71,38 @@
 	return len(x.d.MarkLeaving(list...)) > 0
 }
 
-// countSentAfter counts a request that is sent to an upstream although it asked for a pause.
-func (x *exchange) countSentAfter(t *tracker.Upstream) {
-	if t.Paused() {
-		x.countAnnouncement("sent_after_announcement", pauseKind)
+func (x *exchange) countAnnouncement(kind string) {
+	x.d.Meter.Count("upstream_announcements", measurer.Labels{Service: string(x.service), Kind: kind})
+}
+
+// pauseLeft returns the time until an upstream that may run the request takes requests again, if
+// all that can be reached want a pause, and otherwise 0.
+func (x *exchange) pauseLeft() timekeeper.Millis {
+	if !x.sawPause {
+		return 0
+	}
+	soonest := timekeeper.Millis(0)
+	for _, u := range x.d.Catalog().ByService(x.service) {
+		if !x.allowsUpstream(u) {
+			continue
+		}
+		t := x.d.Upstreams.StateOf(u)
+		left := t.PauseLeft()
+		if s := t.State(u); left == 0 && !s.Gone && !s.Down {
+			return 0
+		}
+		if left > 0 && (soonest == 0 || left < soonest) {
+			soonest = left
+		}
 	}
+	return soonest
 }
 
-func (x *exchange) countAnnouncement(metric, kind string) {
-	x.d.Meter.Count(metric, measurer.Labels{Service: string(x.service), Kind: kind})
+// spreadReturn adds a random part to the time after which a caller returns, so that the callers
+// refused during a pause do not all return when it ends.
+func spreadReturn(after timekeeper.Millis) timekeeper.Millis {
+	if after == 0 {
+		return 0
+	}
+	return after + rand.N(min(max(after/2, minReturnSpread), maxReturnSpread))
 }
--- a/internal/request/dispatcher/announcement_test.go
+++ b/internal/request/dispatcher/announcement_test.go
@@ -4,6 +4,7 @@
 	"fmt"
 	"io"
 	"net/http"
+	"strconv"
 	"sync/atomic"
 	"testing"
 
@@ -125,3 +126,69 @@
 	s.do(http.MethodGet, "id", func(r *http.Request) { r.Header.Set(fields.Key, key) })
 	is.True(s.catalog.Current().Usable(present.Incarnation()) == nil)
 }
+
+// TestPausedCandidatesMakeRoom guards against refusing a request while upstreams that its key does
+// not prefer take work.
+func TestPausedCandidatesMakeRoom(t *testing.T) {
+	is := is.New(t)
+	s := newHarness(t, matcher.Idempotent)
+	var pausing atomic.Int64
+	serve := func(w http.ResponseWriter, r *http.Request) {
+		if pausing.Add(1) <= 6 {
+			asksForPause("60")(w, r)
+			return
+		}
+		succeeds(w, r)
+	}
+	for i := range 8 {
+		s.add(t, fmt.Sprint("u", i), serve)
+	}
+	for i := range 3 {
+		p, _ := s.do(http.MethodGet, fmt.Sprint("early-", i), nil)
+		is.Equal(p.StatusCode, http.StatusServiceUnavailable)
+		after, err := strconv.ParseFloat(p.Header.Get("Retry-After"), 64)
+		is.NoErr(err)
+		is.True(after < 1) // others have room
+	}
+	for i := range 5 {
+		id := fmt.Sprint("late-", i)
+		p, _ := s.do(http.MethodGet, id, nil)
+		is.Equal(p.StatusCode, http.StatusOK)
+		is.Equal(s.ran(id), 1)
+	}
+}
+
+// TestPauseIsNotPassedToTheCaller guards against a caller that waits for the pause of one upstream
+// while others take work, and one that returns while all of them pause.
+func TestPauseIsNotPassedToTheCaller(t *testing.T) {
+	unavailable := func(w http.ResponseWriter, _ *http.Request) {
+		w.Header().Set(fields.Proof, "p")
+		w.Header().Set("Retry-After", "60")
+		w.WriteHeader(http.StatusServiceUnavailable)
+	}
+	for _, tt := range []struct {
+		name   string
+		others http.HandlerFunc
+		least  float64
+		most   float64
+	}{
+		{"others take work", succeeds, 0, 1},
+		{"all pause", unavailable, 60, 62.1},
+	} {
+		t.Run(tt.name, func(t *testing.T) {
+			is := is.New(t)
+			s := newHarness(t, matcher.Once)
+			s.add(t, "u1", firstOf(unavailable, tt.others))
+			s.add(t, "u2", firstOf(unavailable, tt.others))
+			p, _ := s.do(http.MethodPost, "id", nil)
+			is.Equal(p.StatusCode, http.StatusServiceUnavailable)
+			for i := 0; tt.least > 0 && i < 2; i++ {
+				p, _ = s.do(http.MethodPost, fmt.Sprint("again-", i), nil)
+			}
+			after, err := strconv.ParseFloat(p.Header.Get("Retry-After"), 64)
+			is.NoErr(err)
+			is.True(after >= tt.least-1)
+			is.True(after <= tt.most)
+		})
+	}
+}
--- a/internal/request/dispatcher/answer.go
+++ b/internal/request/dispatcher/answer.go
@@ -150,6 +150,10 @@
 	for n, v := range resp.Header {
 		h[n] = v
 	}
+	if resp.Status == http.StatusServiceUnavailable && h.Get("Retry-After") != "" {
+		// The upstream's pause is for this daemon. Others may take the caller's next attempt.
+		h.Set("Retry-After", formatSeconds(x.retryAfter()))
+	}
 	x.setCloseIfStopping()
 }
 
--- a/internal/request/dispatcher/choose.go
+++ b/internal/request/dispatcher/choose.go
@@ -173,6 +173,7 @@
 func (x *exchange) state(u *cataloger.Upstream) placer.State {
 	t := x.d.Upstreams.StateOf(u)
 	s := t.State(u)
+	x.sawPause = x.sawPause || s.Paused
 	s.Attempted = slices.Contains(x.attempted, u.Incarnation()) && !x.refusedWithCapacity(u, s) || x.failedToDial(u)
 	if !s.Attempted && u.Cold(x.d.Clock.Now()) {
 		s.Cold = x.d.HasWarmupRoom == nil || !x.d.HasWarmupRoom(u, t)
--- a/internal/request/dispatcher/exchange.go
+++ b/internal/request/dispatcher/exchange.go
@@ -115,6 +115,8 @@
 	unreached []cataloger.Incarnation
 	// refusedBy is the last upstream that stated that it did not run the request.
 	refusedBy cataloger.Incarnation
+	// sawPause means that an upstream considered for the request wants a pause.
+	sawPause bool
 	// mayHaveRun means that an attempt may have run.
 	mayHaveRun bool
 	// homePlacement is the home of the request's key and the reason for it.
@@ -284,10 +286,11 @@
 
 // retryAfter returns the Retry-After time of a request that did not run.
 func (x *exchange) retryAfter() timekeeper.Millis {
+	after := fullRetryAfter
 	if len(x.attempted) > 0 {
-		return refusedRetryAfter
+		after = refusedRetryAfter
 	}
-	return fullRetryAfter
+	return max(after, spreadReturn(x.pauseLeft()))
 }
 
 // giveUp responds to a request that no upstream answered.
--- a/internal/request/dispatcher/send.go
+++ b/internal/request/dispatcher/send.go
@@ -100,7 +100,7 @@
 }
 
 // maySendNow is called right before sending. It reports whether the upstream still accepts
-// work, the configuration is unchanged, and the request is not in quarantine.
+// work and is not paused, the configuration is unchanged, and the request is not in quarantine.
 func (x *exchange) maySendNow(u *cataloger.Upstream, t *tracker.Upstream) bool {
 	x.sentAgainst = x.d.Catalog()
 	if x.sentAgainst.Usable(u.Incarnation()) == nil {
@@ -109,7 +109,10 @@
 	if x.d.Config() != x.config || x.quarantinedNow() {
 		return false
 	}
-	x.countSentAfter(t)
+	if t.PauseLeft() > 0 {
+		x.sawPause = true
+		return false
+	}
 	if x.sentAfter < 0 {
 		x.sentAfter = x.d.Clock.Now() - x.arrivedAt
 	}
--- a/internal/request/placer/place.go
+++ b/internal/request/placer/place.go
@@ -43,6 +43,7 @@
 	Accepts   Verdict = ""
 	Gone      Verdict = "gone"
 	Down      Verdict = "down"
+	Paused    Verdict = "paused"
 	Failing   Verdict = "failing"
 	Cold      Verdict = "cold"
 	QueueFull Verdict = "line"
@@ -71,6 +72,8 @@
 		Gone bool
 		// Down reports that the upstream was recently unreachable.
 		Down bool
+		// Paused reports that the upstream asked for no requests for a time that is not over.
+		Paused bool
 		// Failing reports that the upstream fails or refuses too many requests and is not due
 		// for another attempt.
 		Failing bool
@@ -94,10 +97,10 @@
 	return v == QueueFull
 }
 
-// Reachable reports whether the upstream can take an attempt: it is neither gone nor down and
-// had none for this request.
+// Reachable reports whether the upstream can take an attempt: it is neither gone nor down nor
+// paused and had none for this request.
 func (s State) Reachable() bool {
-	return !s.Gone && !s.Down && !s.Attempted
+	return !s.Gone && !s.Down && !s.Paused && !s.Attempted
 }
 
 // excluded reports whether the upstream fails or refuses so many requests that other upstreams
@@ -168,6 +171,8 @@
 		return Gone
 	case s.Down && !p.Without.Has(switcher.BackOff):
 		return Down
+	case s.Paused:
+		return Paused
 	case s.excluded() && !p.Without.Has(switcher.FailureShares):
 		return Failing
 	case s.Reported > queueFactor*slots && !p.Without.Has(switcher.QueueLimits):
--- a/internal/request/placer/place_test.go
+++ b/internal/request/placer/place_test.go
@@ -74,6 +74,8 @@
 		{"own requests only", []placer.State{{Slots: 6, Own: 6, Reported: 6}, free}, false, 0, placer.Accepts},
 		{"own requests fill the queue", []placer.State{{Slots: 6, Own: 13, Reported: 13}, free}, false, 1, placer.QueueFull},
 		{"down", []placer.State{{Slots: 6, Down: true}, free}, false, 1, placer.Down},
+		{"paused", []placer.State{{Slots: 6, Paused: true}, free}, false, 1, placer.Paused},
+		{"all paused", []placer.State{{Slots: 6, Paused: true}, {Slots: 6, Paused: true, Failing: true}}, false, -1, placer.Paused},
 		{"failing", []placer.State{{Slots: 6, Failing: true, FailShare: 0.5}, free}, false, 1, placer.Failing},
 		{"failing little more than the other", []placer.State{{Slots: 6, Failing: true, FailShare: 0.5}, {Slots: 6, FailShare: 0.3}}, false, 0, placer.Failing},
 		{"failing, and the third much less", []placer.State{{Slots: 6, Failing: true, FailShare: 0.5}, {Slots: 6, FailShare: 0.3}, free}, false, 2, placer.Failing},
@@ -106,6 +108,7 @@
 		{"full home, busy other", []placer.State{full, busy}, -1, false},
 		{"full home, full other, idle third", []placer.State{full, full, free}, 2, true},
 		{"home down", []placer.State{{Slots: 6, Down: true}, busy}, 1, false},
+		{"home paused", []placer.State{{Slots: 6, Paused: true}, busy}, 1, false},
 		{"all full", []placer.State{full, full}, -1, false},
 	}
 	for _, tt := range tests {
