pooler: only a response to a later request ends draining

What callers would see in the own interface: calls go to a draining upstream again, and are cut off when it exits.

Cause: the last response that arrives decided whether an upstream drains. Responses overtake each other: one that was made before the announcement ended it if it arrived after. Class: the order of arrival taken for the order of events.

Change: a response without the announcement counts only if its request began after the announcement was received.

--- a/internal/connection/pooler/owner.go
+++ b/internal/connection/pooler/owner.go
@@ -301,11 +301,12 @@
 	if err != nil {
 		return
 	}
+	began := p.clock.Now()
 	r, err := u.probeTransport.RoundTrip(q)
 	ok := err == nil && r.StatusCode < http.StatusInternalServerError
 	if err == nil {
 		draining := r.Header.Get(s.DrainHeader) != ""
-		p.recordResponse(u, draining, ok)
+		p.recordResponse(u, began, draining, ok)
 		discard(r)
 	} else if ctx.Err() == nil {
 		p.markDown(u)
@@ -334,20 +335,22 @@
 }
 
 // recordResponse records whether a response of u announces that it drains, and resets the
-// back-off after a healthy one, which is any but a server error. The first response
-// without the announcement brings a draining upstream back, with a new ramp-up.
-func (p *Pool) recordResponse(u *upstream, draining, healthy bool) {
+// back-off after a healthy one, which is any but a server error. The first response without the
+// announcement to a request that began after it was received brings a draining upstream back,
+// with a new ramp-up. Responses to earlier requests may have been made before it.
+func (p *Pool) recordResponse(u *upstream, began timekeeper.Millis, draining, healthy bool) {
 	p.lock.Lock()
 	defer p.lock.Unlock()
+	now := p.clock.Now()
 	if healthy {
 		u.resetBackOff()
 	}
-	if u.draining && !draining {
-		u.upSince = p.clock.Now()
-	}
-	u.draining = draining
-	if draining {
+	switch {
+	case draining:
+		u.draining, u.drainingSince = true, now
 		p.grantSlots()
+	case u.draining && began > u.drainingSince:
+		u.draining, u.upSince = false, now
 	}
 }
 
--- a/internal/connection/pooler/send.go
+++ b/internal/connection/pooler/send.go
@@ -211,7 +211,7 @@
 // recordResponse records what a response says about the state of the upstream.
 func (a *attempt) recordResponse(p *http.Response) {
 	draining := p.Header.Get(a.pool.drainHeader()) != ""
-	a.pool.recordResponse(a.dest, draining, p.StatusCode < http.StatusInternalServerError)
+	a.pool.recordResponse(a.dest, a.started, draining, p.StatusCode < http.StatusInternalServerError)
 }
 
 func (a *attempt) passResponse(ctx context.Context, p *http.Response) exchanger.Result {
--- a/internal/connection/pooler/upstream.go
+++ b/internal/connection/pooler/upstream.go
@@ -30,8 +30,9 @@
 	formerBusy int
 	// claimed reports whether every former owner has stopped sending.
 	claimed bool
-	// draining reports whether the upstream announced that it drains.
-	draining bool
+	// draining reports whether the upstream announced that it drains, last at drainingSince.
+	draining      bool
+	drainingSince timekeeper.Millis
 	// vmLeaving reports whether its VM is leaving by the platform's list of VMs.
 	vmLeaving bool
 	// removed reports whether this daemon is no longer the owner.
