pooler: no calls to an upstream in the pause that it asked for

What callers would see in the own interface: calls go on to an upstream that has just refused one with Retry-After, are refused one by one, and others wait in the queue for a slot that it does not give.

Cause: as on the platform's path, the Retry-After of a refusal was dropped. Class: what a response says of its sender was dropped with the exchange; here what was kept of it hung on the pool's entry, which a change of ownership replaces.

Change: what an upstream announced is kept by address beside the pools. A paused upstream has no slots, gets no health checks, and is not ejected on top. When all upstreams of a pool are in back-off or paused, queued calls are refused at once, with the end of the first back-off or pause, spread after a pause. The upstream's own Retry-After is not handed on.

Ruled out: capping the time told to callers at 10 s as for back-offs, since a caller would come back into the pause.

--- a/internal/connection/pooler/announcement_test.go
+++ b/internal/connection/pooler/announcement_test.go
@@ -74,7 +74,9 @@
 	is.Equal(o.Run(context.Background(), call("x", nil, io.Discard)).Outcome, exchanger.Answered)
 	for _, v := range []string{"3", "20.5"} {
 		pause.Store(v)
-		is.Equal(o.Run(context.Background(), call("x", nil, io.Discard)).Reason, exchanger.ReasonUpstreamRefused)
+		r := o.Run(context.Background(), call("x", nil, io.Discard))
+		is.Equal(r.Reason, exchanger.ReasonUpstreamRefused)
+		is.True(r.RetryAfter >= 3000)
 		before := arrived.Load()
 		length := map[string]timekeeper.Millis{"3": 3000, "20.5": 20500}[v]
 		for range 4 {
@@ -108,3 +110,31 @@
 	pause.Store("")
 	is.Equal(o.Run(context.Background(), call("x", nil, io.Discard)).Outcome, exchanger.Answered)
 }
+
+// TestQueuedCallsAreRefusedWhenAllUpstreamsPause guards against calls that wait in the queue until
+// their deadline, since the pause that ends their wait began after they queued.
+func TestQueuedCallsAreRefusedWhenAllUpstreamsPause(t *testing.T) {
+	is := is.New(t)
+	entered, leave := make(chan struct{}, 10), make(chan struct{})
+	s := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, _ *http.Request) {
+		entered <- struct{}{}
+		<-leave
+		w.Header().Set(server.HeaderNotRun, "1")
+		w.Header().Set("Retry-After", "30")
+		w.WriteHeader(http.StatusServiceUnavailable)
+	}))
+	t.Cleanup(s.Close)
+	o, _ := newOwner(settings(1, 10, s.Listener.Addr().String()))
+	results := start(context.Background(), o, 4)
+	<-entered
+	leave <- struct{}{}
+	reasons := map[exchanger.Reason]int{}
+	for range 4 {
+		r := <-results
+		is.Equal(r.Outcome, exchanger.NotRun)
+		is.True(r.RetryAfter >= 30_000)
+		reasons[r.Reason]++
+	}
+	is.Equal(reasons, map[exchanger.Reason]int{exchanger.ReasonUpstreamRefused: 1, exchanger.ReasonNoUpstream: 3})
+	is.Equal(len(entered), 0)
+}
--- a/internal/connection/pooler/availability.go
+++ b/internal/connection/pooler/availability.go
@@ -1,39 +1,53 @@
 package pooler
 
 import (
+	"github.com/gullvale/gullvale/internal/connection/advisor"
 	"github.com/gullvale/gullvale/internal/request/exchanger"
 	"github.com/gullvale/gullvale/pkg/timekeeper"
 )
 
-// allDown reports whether every upstream of the pool that is not leaving is in back-off,
-// and when the first back-off ends. A pool that waits for former owners to release an
-// upstream is not down. The caller holds the lock.
-func (p *Pool) allDown(now timekeeper.Millis) (timekeeper.Millis, bool) {
-	var soonest timekeeper.Millis
+// allDown reports whether every upstream of the pool that is not leaving is in back-off or
+// paused, and the first of them that takes requests again. A pool that waits for former owners
+// to release an upstream is not down. The caller holds the lock.
+func (p *Pool) allDown(now timekeeper.Millis) (first *upstream, allDown bool) {
 	for _, u := range p.upstreams {
-		if u.removed || u.draining || u.vmLeaving {
+		if u.removed || u.leaving() {
 			continue
 		}
-		if !u.claimed || now >= u.downUntil {
-			return 0, false
+		if !u.claimed || now >= u.unavailableUntil() {
+			return nil, false
 		}
-		if soonest == 0 || u.downUntil < soonest {
-			soonest = u.downUntil
+		if first == nil || u.unavailableUntil() < first.unavailableUntil() {
+			first = u
 		}
 	}
-	return soonest, soonest > 0
+	return first, first != nil
 }
 
-// refuseAllDown returns the refusal of a request if all upstreams are down, and reports
+// refuseAllDown returns the refusal of a request if all upstreams are down or paused, and reports
 // whether they are. It does not queue the request since another site may serve it. The
 // caller holds the lock.
 func (p *Pool) refuseAllDown() (exchanger.Result, bool) {
 	now := p.clock.Now()
-	soonest, allDown := p.allDown(now)
+	first, allDown := p.allDown(now)
 	if !allDown {
 		return exchanger.Result{}, false
 	}
-	return exchanger.Refused(exchanger.ReasonNoUpstream, min(max(soonest-now, minRetryAfter), maxRetryAfter)), true
+	after := max(first.unavailableUntil()-now, minRetryAfter)
+	if first.announced.isPaused(now) {
+		after = advisor.SpreadReturn(after)
+	}
+	return exchanger.Refused(exchanger.ReasonNoUpstream, after), true
+}
+
+// returnAfter returns the retry delay of a caller whose request an upstream refused.
+func (p *Pool) returnAfter() timekeeper.Millis {
+	p.lock.Lock()
+	defer p.lock.Unlock()
+	if r, down := p.refuseAllDown(); down {
+		return max(r.RetryAfter, retryAfter)
+	}
+	return retryAfter
 }
 
 // overLimit reports whether one more request from another site would exceed the limit,
--- a/internal/connection/pooler/outlier.go
+++ b/internal/connection/pooler/outlier.go
@@ -42,11 +42,11 @@
 	now := p.clock.Now()
 	all, down := 0, 0
 	for _, u := range p.upstreams {
-		if u.removed || u.draining || u.vmLeaving || !u.claimed {
+		if u.removed || u.leaving() || !u.claimed {
 			continue
 		}
 		all++
-		if now < u.downUntil {
+		if now < u.unavailableUntil() {
 			down++
 		}
 	}
--- a/internal/connection/pooler/owner.go
+++ b/internal/connection/pooler/owner.go
@@ -7,6 +7,7 @@
 	"sync"
 	"time"
 
+	"github.com/gullvale/gullvale/internal/connection/advisor"
 	"github.com/gullvale/gullvale/internal/request/exchanger"
 	"github.com/gullvale/gullvale/internal/version/resolver"
 	"github.com/gullvale/gullvale/pkg/registrar"
@@ -51,8 +52,9 @@
 
 		lock sync.RWMutex
 		// leaving holds the IP addresses of leaving VMs.
-		leaving map[string]bool
-		pools   map[Key]*Pool
+		leaving   map[string]bool
+		pools     map[Key]*Pool
+		announced announcements
 		// probes holds the time of the next probe by the address of the upstream.
 		probes map[string]timekeeper.Millis
 	}
@@ -72,7 +74,7 @@
 	for k, w := range wanted {
 		p := o.pools[k]
 		if p == nil {
-			p = newPool(o.Clock, w.Settings, o.dialer(), func() { o.changed(k) })
+			p = newPool(o, w.Settings, func() { o.changed(k) })
 			o.pools[k] = p
 		}
 		unclaimed = append(unclaimed, p.set(w)...)
@@ -83,9 +85,24 @@
 			p.set(PoolConfig{Settings: p.settings})
 		}
 	}
+	o.forgetAnnouncements()
 	return unclaimed
 }
 
+// forgetAnnouncements drops the announcements of upstreams that are no longer owned. The caller
+// holds the lock.
+func (o *Owner) forgetAnnouncements() {
+	owned := map[string]bool{}
+	for _, p := range o.pools {
+		p.lock.Lock()
+		for _, u := range p.upstreams {
+			owned[u.address] = true
+		}
+		p.lock.Unlock()
+	}
+	o.announced.forget(owned, o.Clock.Now())
+}
+
 func (o *Owner) dialer() dialer {
 	if o.Dial == nil {
 		return dialTCP
@@ -106,7 +123,7 @@
 	for _, a := range w.Upstreams {
 		u := current[a]
 		if u == nil {
-			u = newUpstream(a, w.Settings.Slots, p.clock.Now(), p.dial)
+			u = p.newUpstream(a)
 			p.upstreams = append(p.upstreams, u)
 		}
 		u.removed = false
@@ -279,7 +296,7 @@
 	now := p.clock.Now()
 	var out []*upstream
 	for _, u := range p.upstreams {
-		if u.removed || !u.claimed || now < probes[u.address] {
+		if u.removed || !u.claimed || now < probes[u.address] || u.announced.isPaused(now) {
 			continue
 		}
 		probes[u.address] = now + p.settings.ProbeInterval
@@ -305,8 +322,7 @@
 	r, err := u.probeTransport.RoundTrip(q)
 	ok := err == nil && r.StatusCode < http.StatusInternalServerError
 	if err == nil {
-		draining := r.Header.Get(s.DrainHeader) != ""
-		p.recordResponse(u, began, draining, ok)
+		p.recordResponse(u, began, r)
 		discard(r)
 	} else if ctx.Err() == nil {
 		p.markDown(u)
@@ -321,7 +337,7 @@
 func (p *Pool) isLeaving(u *upstream) bool {
 	p.lock.Lock()
 	defer p.lock.Unlock()
-	return u.draining || u.vmLeaving || u.removed
+	return u.leaving() || u.removed
 }
 
 // markDown starts a back-off of u unless it is in back-off already.
@@ -334,23 +350,23 @@
 	}
 }
 
-// recordResponse records whether a response of u announces that it drains, and resets the
-// back-off after a healthy one, which is any but a server error. The first response without the
-// announcement to a request that began after it was received brings a draining upstream back,
-// with a new ramp-up. Responses to earlier requests may have been made before it.
-func (p *Pool) recordResponse(u *upstream, began timekeeper.Millis, draining, healthy bool) {
+// recordResponse records what a response of u to a request that began at some time says about u,
+// and resets the back-off after a healthy one, which is any but a server error. An upstream that
+// drained and no longer announces it is back, with a new ramp-up.
+func (p *Pool) recordResponse(u *upstream, began timekeeper.Millis, r *http.Response) {
 	p.lock.Lock()
 	defer p.lock.Unlock()
 	now := p.clock.Now()
-	if healthy {
+	if r.StatusCode < http.StatusInternalServerError {
 		u.resetBackOff()
 	}
-	switch {
-	case draining:
-		u.draining, u.drainingSince = true, now
+	a := advisor.Read(p.settings.DrainHeader, r.StatusCode, r.Header)
+	if u.announced.record(a, began, now) {
+		u.upSince = now
+	}
+	if a != (advisor.Advice{}) {
+		// Requests that wait for a slot of u may have none left to wait for.
 		p.grantSlots()
-	case u.draining && began > u.drainingSince:
-		u.draining, u.upSince = false, now
 	}
 }
 
@@ -366,9 +382,3 @@
 	defer p.lock.Unlock()
 	return p.settings.RefusalHeader
 }
-
-func (p *Pool) drainHeader() string {
-	p.lock.Lock()
-	defer p.lock.Unlock()
-	return p.settings.DrainHeader
-}
--- a/internal/connection/pooler/pool.go
+++ b/internal/connection/pooler/pool.go
@@ -19,8 +19,9 @@
 	// Pool holds the owned upstreams of one service at one site and the queue for
 	// their slots.
 	Pool struct {
-		clock timekeeper.Clock
-		dial  dialer
+		clock     timekeeper.Clock
+		dial      dialer
+		announced *announcements
 
 		lock      sync.Mutex
 		settings  *resolver.Service
@@ -61,10 +62,11 @@
 	}
 )
 
-func newPool(c timekeeper.Clock, s *resolver.Service, dial dialer, notify func()) *Pool {
+func newPool(o *Owner, s *resolver.Service, notify func()) *Pool {
 	return &Pool{
-		clock:        c,
-		dial:         dial,
+		clock:        o.Clock,
+		dial:         o.dialer(),
+		announced:    &o.announced,
 		settings:     s,
 		waiting:      list.New(),
 		heldByOrigin: map[registrar.Site]timekeeper.Millis{},
@@ -122,7 +124,7 @@
 
 func (p *Pool) anyUsable() bool {
 	for _, u := range p.upstreams {
-		if !u.removed && !u.draining && !u.vmLeaving {
+		if !u.removed && !u.leaving() {
 			return true
 		}
 	}
--- a/internal/connection/pooler/send.go
+++ b/internal/connection/pooler/send.go
@@ -5,9 +5,11 @@
 	"context"
 	"errors"
 	"io"
+	"math"
 	"net/http"
 	"net/http/httptrace"
 	"net/url"
+	"strconv"
 	"strings"
 	"sync/atomic"
 	"syscall"
@@ -98,10 +100,10 @@
 	}
 	defer p.Body.Close()
 	a.status = p.StatusCode
-	a.recordResponse(p)
+	a.pool.recordResponse(a.dest, a.started, p)
 	if p.Header.Get(a.pool.refusalHeader()) != "" {
 		discard(p)
-		r := exchanger.Refused(exchanger.ReasonUpstreamRefused, retryAfter)
+		r := exchanger.Refused(exchanger.ReasonUpstreamRefused, a.pool.returnAfter())
 		r.Upstream = a.dest.address
 		return r
 	}
@@ -208,14 +210,12 @@
 	return exchanger.Lost(reason, a.dest.address)
 }
 
-// recordResponse records what a response says about the state of the upstream.
-func (a *attempt) recordResponse(p *http.Response) {
-	draining := p.Header.Get(a.pool.drainHeader()) != ""
-	a.pool.recordResponse(a.dest, a.started, draining, p.StatusCode < http.StatusInternalServerError)
-}
-
 func (a *attempt) passResponse(ctx context.Context, p *http.Response) exchanger.Result {
 	r := exchanger.Result{Outcome: exchanger.Answered, Upstream: a.dest.address}
+	if p.StatusCode == http.StatusServiceUnavailable && p.Header.Get("Retry-After") != "" {
+		// The upstream's pause is for this daemon. Others may take the caller's next attempt.
+		p.Header.Set("Retry-After", strconv.FormatFloat(math.Ceil(a.pool.returnAfter().Duration().Seconds()), 'f', 0, 64))
+	}
 	head := exchanger.Response{
 		Status:   p.StatusCode,
 		Header:   p.Header,
--- a/internal/connection/pooler/upstream.go
+++ b/internal/connection/pooler/upstream.go
@@ -30,9 +30,8 @@
 	formerBusy int
 	// claimed reports whether every former owner has stopped sending.
 	claimed bool
-	// draining reports whether the upstream announced that it drains, last at drainingSince.
-	draining      bool
-	drainingSince timekeeper.Millis
+	// announced is what the upstream announced in its responses. It has a lock of its own.
+	announced *announcement
 	// vmLeaving reports whether its VM is leaving by the platform's list of VMs.
 	vmLeaving bool
 	// removed reports whether this daemon is no longer the owner.
@@ -46,15 +45,26 @@
 	upSince   timekeeper.Millis
 }
 
-func newUpstream(address string, slots int, now timekeeper.Millis, dial dialer) *upstream {
+func (p *Pool) newUpstream(address string) *upstream {
 	return &upstream{
 		address:          address,
-		upSince:          now,
-		requestTransport: newRequestTransport(slots, dial),
-		probeTransport:   newTransport(probeConns, dial),
+		announced:        p.announced.of(address),
+		upSince:          p.clock.Now(),
+		requestTransport: newRequestTransport(p.settings.Slots, p.dial),
+		probeTransport:   newTransport(probeConns, p.dial),
 	}
 }
 
+// leaving reports whether u drains or its VM is leaving.
+func (u *upstream) leaving() bool {
+	return u.vmLeaving || u.announced.isDraining()
+}
+
+// unavailableUntil returns the end of the back-off or the pause, whichever is later.
+func (u *upstream) unavailableUntil() timekeeper.Millis {
+	return max(u.downUntil, u.announced.pauseEnd())
+}
+
 // resize replaces the transport for requests if the number of slots changed. Requests
 // in flight complete on their old connections.
 func (u *upstream) resize(slots int, dial dialer) {
@@ -70,10 +80,10 @@
 	u.probeTransport.CloseIdleConnections()
 }
 
-// slotLimit returns how many requests u may have now: none while it is down, leaving or
+// slotLimit returns how many requests u may have now: none while it is down, paused, leaving or
 // unclaimed, and a growing number while it ramps up.
 func (u *upstream) slotLimit(slots int, now timekeeper.Millis) int {
-	if u.removed || u.draining || u.vmLeaving || !u.claimed || now < u.downUntil {
+	if u.removed || u.leaving() || !u.claimed || now < u.unavailableUntil() {
 		return 0
 	}
 	doublings := (now - u.upSince) / rampInterval
--- a/internal/request/dispatcher/announcement.go
+++ b/internal/request/dispatcher/announcement.go
@@ -1,7 +1,6 @@
 package dispatcher
 
 import (
-	"math/rand/v2"
 	"net/http"
 
 	"github.com/gullvale/gullvale/internal/connection/advisor"
@@ -11,15 +10,10 @@
 	"github.com/gullvale/gullvale/pkg/timekeeper"
 )
 
+// Kinds of announcements, as labels of metrics.
 const (
-	// Kinds of announcements, as labels of metrics.
 	leavingKind = "leaving"
 	pauseKind   = "pause"
-
-	// minReturnSpread and maxReturnSpread bound the time over which the return of callers is
-	// spread after a pause. In between, it is half of what is left of the pause.
-	minReturnSpread = 250 * timekeeper.Millis(1)
-	maxReturnSpread = 2 * timekeeper.Second
 )
 
 // Announcement is what a response announced about its upstream.
@@ -97,12 +91,3 @@
 	}
 	return soonest
 }
-
-// spreadReturn adds a random part to the time after which a caller returns, so that the callers
-// refused during a pause do not all return when it ends.
-func spreadReturn(after timekeeper.Millis) timekeeper.Millis {
-	if after == 0 {
-		return 0
-	}
-	return after + rand.N(min(max(after/2, minReturnSpread), maxReturnSpread))
-}
--- a/internal/request/dispatcher/exchange.go
+++ b/internal/request/dispatcher/exchange.go
@@ -7,6 +7,7 @@
 	"strconv"
 	"strings"
 
+	"github.com/gullvale/gullvale/internal/connection/advisor"
 	"github.com/gullvale/gullvale/internal/request/assigner"
 	"github.com/gullvale/gullvale/internal/request/exchanger"
 	"github.com/gullvale/gullvale/internal/request/quarantiner"
@@ -290,7 +291,10 @@
 	if len(x.attempted) > 0 {
 		after = refusedRetryAfter
 	}
-	return max(after, spreadReturn(x.pauseLeft()))
+	if left := x.pauseLeft(); left > 0 {
+		after = max(after, advisor.SpreadReturn(left))
+	}
+	return after
 }
 
 // giveUp responds to a request that no upstream answered.
