--- a/internal/process/heartbeater/heartbeater.go
+++ b/internal/process/heartbeater/heartbeater.go
@@ -92,6 +92,8 @@
 		To      uint64
 		Body    []byte
 		Omitted bool
+		// Complete reports that Body holds all objects as of To, not the changes since From.
+		Complete bool
 	}
 
 	// Heartbeater sends and receives heartbeats. Self, Send and Seeds must be set before
@@ -261,7 +263,7 @@
 		b.OnLimitMessage(from, limitMessage(d.Tokens))
 	}
 	if r := d.Relay; r != nil && b.OnChanges != nil {
-		b.OnChanges(Changes{Kind: r.Kind, From: r.From, To: r.To, Body: r.Changes, Omitted: r.Omitted})
+		b.OnChanges(Changes{Kind: r.Kind, From: r.From, To: r.To, Body: r.Changes, Omitted: r.Omitted, Complete: r.Complete})
 	}
 	return true
 }
--- a/internal/process/heartbeater/relay.go
+++ b/internal/process/heartbeater/relay.go
@@ -45,7 +45,7 @@
 	if len(c.Body) > MaxRelayBytes {
 		return &Relay{Kind: c.Kind, From: c.From, To: c.To, Omitted: true}
 	}
-	return &Relay{Kind: c.Kind, From: c.From, To: c.To, Changes: c.Body}
+	return &Relay{Kind: c.Kind, From: c.From, To: c.To, Changes: c.Body, Complete: c.Complete}
 }
 
 // Announce sends homes of keys to the other members of the region.
