platform, cataloger: a store's older copy takes back nothing that was acknowledged

What callers saw: with changes read again after the return, requests went to an upstream that had reported that it leaves, and to one that had been removed, until their owners wrote it again, and an evacuation would have been lifted meanwhile.

Cause: a list of the store was taken for news. What the store lost with its last seconds was acknowledged, and its owners write it again within seconds. Class: state of an outside system replaces what was learnt from it, without regard to what it can know.

Change: a report that an upstream leaves is kept like the announcement in a response, by incarnation and address.

New: TestReportedDepartureIsNotTakenBack.

--- a/internal/version/cataloger/catalog.go
+++ b/internal/version/cataloger/catalog.go
@@ -152,10 +152,14 @@
 	return current
 }
 
-// put records the reported state of an upstream. The caller must hold c.lock.
+// put records the reported state of an upstream. One that was reported as leaving stays so: a later
+// report may be an older one. The caller must hold c.lock.
 func (c *Catalog) put(u Upstream) {
 	u.setHash()
-	u.Leaving = u.Leaving || c.departures[u.Departure()]
+	if u.Leaving {
+		c.departures[u.Departure()] = true
+	}
+	u.Leaving = c.departures[u.Departure()]
 	c.upstreams[u.ID] = &u
 }
 
--- a/internal/version/cataloger/catalog_test.go
+++ b/internal/version/cataloger/catalog_test.go
@@ -155,3 +155,21 @@
 	c.Put(gone)
 	is.True(c.Current().Usable(gone.Incarnation()) != nil) // dropped
 }
+
+// TestReportedDepartureIsNotTakenBack guards against an upstream that gets requests again since an
+// older report, such as that of a store that returned from a copy, says that it is ready.
+func TestReportedDepartureIsNotTakenBack(t *testing.T) {
+	is := is.New(t)
+	var c cataloger.Catalog
+	ready, leaving := incarnation(0, "a:1"), incarnation(0, "a:1")
+	leaving.Leaving = true
+	c.Put(ready)
+	c.Put(leaving)
+	c.Put(ready)
+	is.Equal(len(c.Current().ByService("s")), 0)
+	c.Remove("u1")
+	c.Replace([]cataloger.Upstream{ready})
+	is.Equal(len(c.Current().ByService("s")), 0)
+	c.Put(incarnation(0, "a:2")) // another incarnation
+	is.Equal(len(c.Current().ByService("s")), 1)
+}
