--- a/internal/standin/platform/server.go
+++ b/internal/standin/platform/server.go
@@ -48,6 +48,8 @@
 		lock   sync.Mutex
 		faults Faults
 		counts Counts
+		// copied is the copy that /Restore returns to.
+		copied storeCopy
 	}
 )
 
@@ -65,7 +67,20 @@
 	return s.counts
 }
 
-// ServeHTTP serves the API, and the control paths /Faults and /Counts.
+func (s *Server) setCopied(c storeCopy) {
+	s.lock.Lock()
+	defer s.lock.Unlock()
+	s.copied = c
+}
+
+func (s *Server) getCopied() storeCopy {
+	s.lock.Lock()
+	defer s.lock.Unlock()
+	return s.copied
+}
+
+// ServeHTTP serves the API, and the control paths /Faults, /Counts, /Copy and /Restore. /Copy keeps
+// a copy of the store, and /Restore returns to it.
 func (s *Server) ServeHTTP(w http.ResponseWriter, r *http.Request) {
 	switch r.URL.Path {
 	case "/Faults":
@@ -74,6 +89,12 @@
 	case "/Counts":
 		writeJSON(w, s.Counts())
 		return
+	case "/Copy":
+		s.setCopied(s.Store.copy())
+		return
+	case "/Restore":
+		s.Store.restore(s.getCopied())
+		return
 	}
 	if s.Token != "" && r.Header.Get("Authorization") != "Bearer "+s.Token {
 		http.Error(w, "unknown token", http.StatusUnauthorized)
--- a/internal/standin/platform/store.go
+++ b/internal/standin/platform/store.go
@@ -1,6 +1,7 @@
 package platform
 
 import (
+	"maps"
 	"slices"
 	"strings"
 	"sync"
@@ -17,6 +18,12 @@
 		changed  chan struct{}
 	}
 
+	// storeCopy is the content of a store at a revision.
+	storeCopy struct {
+		revision storer.Revision
+		objects  map[string]storer.Object
+	}
+
 	// condition is the precondition of a write: the object does not exist if absent is set, and
 	// has the expected revision otherwise.
 	condition struct {
@@ -60,6 +67,22 @@
 	return true
 }
 
+// copy returns the content of the store.
+func (s *Store) copy() storeCopy {
+	s.lock.Lock()
+	defer s.lock.Unlock()
+	return storeCopy{s.revision, maps.Clone(s.objects)}
+}
+
+// restore replaces the content by a copy. Everything written since the copy is lost, and its
+// revisions are given out again.
+func (s *Store) restore(c storeCopy) {
+	s.lock.Lock()
+	defer s.lock.Unlock()
+	s.revision, s.objects = c.revision, maps.Clone(c.objects)
+	s.notifyWatchers()
+}
+
 func (s *Store) satisfies(name string, c condition) bool {
 	o, ok := s.objects[name]
 	if c.absent {
