heartbeater, platform: eras are sent apart from revisions

What callers could see: while a fleet is updated VM by VM, VMs of the version before take a position with an era for a revision far ahead, and stand there; new VMs take an old leader's revisions for those of a former copy and read nothing that it relays.

Class: a change of meaning of a field that old readers know.

Change: heartbeats, questions and relays carry the era in fields of their own.

--- a/internal/connection/pooler/owner.go
+++ b/internal/connection/pooler/owner.go
@@ -52,8 +52,9 @@
 
 		lock sync.RWMutex
 		// leaving holds the IP addresses of leaving VMs.
-		leaving   map[string]bool
-		pools     map[Key]*Pool
+		leaving map[string]bool
+		pools   map[Key]*Pool
+		// announced holds what upstreams announced. It outlasts their pools.
 		announced announcements
 		// probes holds the time of the next probe by the address of the upstream.
 		probes map[string]timekeeper.Millis
--- a/internal/process/heartbeater/heartbeater.go
+++ b/internal/process/heartbeater/heartbeater.go
@@ -62,6 +62,10 @@
 	// MaxRelayBytes is the maximum size of the changes in a datagram, in bytes. Each
 	// member reads longer ones from the store.
 	MaxRelayBytes = 32 << 10
+
+	// RevisionBits is the number of low bits of a position that hold its revision. The others
+	// hold the era of the store's copy.
+	RevisionBits = 48
 )
 
 type (
@@ -263,7 +267,7 @@
 		b.OnLimitMessage(from, limitMessage(d.Tokens))
 	}
 	if r := d.Relay; r != nil && b.OnChanges != nil {
-		b.OnChanges(Changes{Kind: r.Kind, From: r.From, To: r.To, Body: r.Changes, Omitted: r.Omitted, Complete: r.Complete})
+		b.OnChanges(changesOf(r))
 	}
 	return true
 }
@@ -316,7 +320,7 @@
 	}
 	if near && m.Leading && b.OnWatermark != nil {
 		for _, r := range m.Marks {
-			b.OnWatermark(r.Kind, r.Revision)
+			b.OnWatermark(r.Kind, joinPosition(r.Revision, r.Era))
 		}
 	}
 }
--- a/internal/process/heartbeater/relay.go
+++ b/internal/process/heartbeater/relay.go
@@ -27,7 +27,8 @@
 	if leader == nil {
 		return false
 	}
-	b.send([]string{leader.Beats}, &Datagram{Ask: &Ask{Kind: kind, From: from, Beats: self.Beats}})
+	revision, era := splitPosition(from)
+	b.send([]string{leader.Beats}, &Datagram{Ask: &Ask{Kind: kind, From: revision, Era: era, Beats: self.Beats}})
 	return true
 }
 
@@ -36,16 +37,26 @@
 	if b.ChangesAfter == nil {
 		return
 	}
-	for _, c := range b.ChangesAfter(m.Kind, m.From) {
+	for _, c := range b.ChangesAfter(m.Kind, joinPosition(m.From, m.Era)) {
 		b.send([]string{m.Beats}, &Datagram{Relay: relayOf(c)})
 	}
 }
 
 func relayOf(c Changes) *Relay {
-	if len(c.Body) > MaxRelayBytes {
-		return &Relay{Kind: c.Kind, From: c.From, To: c.To, Omitted: true}
+	r := &Relay{Kind: c.Kind, Complete: c.Complete, Omitted: len(c.Body) > MaxRelayBytes}
+	r.From, r.FromEra = splitPosition(c.From)
+	r.To, r.ToEra = splitPosition(c.To)
+	if !r.Omitted {
+		r.Changes = c.Body
+	}
+	return r
+}
+
+func changesOf(r *Relay) Changes {
+	return Changes{
+		Kind: r.Kind, From: joinPosition(r.From, r.FromEra), To: joinPosition(r.To, r.ToEra),
+		Body: r.Changes, Omitted: r.Omitted, Complete: r.Complete,
 	}
-	return &Relay{Kind: c.Kind, From: c.From, To: c.To, Changes: c.Body, Complete: c.Complete}
 }
 
 // Announce sends homes of keys to the other members of the region.
--- a/internal/process/heartbeater/wire.go
+++ b/internal/process/heartbeater/wire.go
@@ -36,8 +36,9 @@
 	if b.Watermarks == nil {
 		return nil
 	}
-	for k, r := range b.Watermarks() {
-		watermarks = append(watermarks, &Mark{Kind: k, Revision: r})
+	for k, p := range b.Watermarks() {
+		revision, era := splitPosition(p)
+		watermarks = append(watermarks, &Mark{Kind: k, Revision: revision, Era: era})
 	}
 	return watermarks
 }
@@ -62,6 +63,16 @@
 	}
 }
 
+// splitPosition splits a position, which holds an era above RevisionBits bits of revision. They are
+// sent apart, since versions without eras read the revision.
+func splitPosition(p uint64) (revision uint64, era uint32) {
+	return p & (1<<RevisionBits - 1), uint32(p >> RevisionBits)
+}
+
+func joinPosition(revision uint64, era uint32) uint64 {
+	return uint64(era)<<RevisionBits | revision&(1<<RevisionBits-1)
+}
+
 func row(m Member, age timekeeper.Millis) *Row {
 	return &Row{
 		Name:        m.Name,
