sender: a response is read after the upstream refused the rest of the request

What callers saw: an upstream that refuses a long request by its head (503 that says "not run", 413, 421) and closes the connection was reported as lost: outcome unknown, 502 for a request that may run once and no repeat of it elsewhere, though the upstream had said that it did not run. What the response says of its upstream (a pause, leaving) was dropped with it.

Cause: an error of a write was taken for "no answer". With a body at hand the exchange ended with the error of the write and nothing was read; with a streamed body the goroutine that sends it aborted the connection, so that the read timed out.

Why it works: EPIPE and ECONNRESET say that the other end has closed, so that what it sent is in the receive buffer and reads do not block. A deadline, a cancelled context and a body that the caller breaks off end the exchange as before. The connection is not reused.

Looked for elsewhere: http.Transport, which the own interface uses, gives up at the error of a write by itself; the links are traced apart.

--- a/internal/connection/sender/conn.go
+++ b/internal/connection/sender/conn.go
@@ -2,6 +2,7 @@
 
 import (
 	"bufio"
+	"errors"
 	"io"
 	"net"
 	"net/http"
@@ -40,6 +41,8 @@
 	// both.
 	count Counter
 	bytes atomic.Int64
+	// refused reports whether the other end refused a write.
+	refused atomic.Bool
 }
 
 // bodyWriter writes a streamed body without buffering.
@@ -61,11 +64,25 @@
 
 // Write writes to the connection and counts the bytes.
 func (c *conn) Write(b []byte) (int, error) {
-	n, err := c.Conn.Write(b)
+	n, err := c.write(b)
 	c.addBytes(int64(n), 0)
 	return n, err
 }
 
+func (c *conn) write(b []byte) (int, error) {
+	n, err := c.Conn.Write(b)
+	if errors.Is(err, syscall.EPIPE) || errors.Is(err, syscall.ECONNRESET) {
+		c.refused.Store(true)
+	}
+	return n, err
+}
+
+// refusesWrites reports whether the other end has closed the connection for writes. What it sent
+// before can still be read, and reads do not block after that.
+func (c *conn) refusesWrites() bool {
+	return c.refused.Load()
+}
+
 // ReadFrom lets streamed bodies bypass the small write buffer.
 func (c *conn) ReadFrom(r io.Reader) (int64, error) {
 	return io.Copy(bodyWriter{c}, r)
@@ -75,7 +92,7 @@
 // response to a body as soon as the body is written.
 func (w bodyWriter) Write(b []byte) (int, error) {
 	w.out.addBytes(int64(len(b)), 0)
-	return w.out.Conn.Write(b)
+	return w.out.write(b)
 }
 
 func (c *conn) addBytes(sent, received int64) {
--- a/internal/connection/sender/send.go
+++ b/internal/connection/sender/send.go
@@ -130,9 +130,21 @@
 }
 
 func (r *Response) exchange(q *Request) error {
-	if err := r.write(q); err != nil {
-		return classifyError(err)
+	writeErr := r.write(q)
+	if writeErr != nil && !r.conn.refusesWrites() {
+		return classifyError(writeErr)
 	}
+	// An upstream that closes the connection before it has read the whole request may have
+	// responded.
+	err := r.receive(q)
+	if writeErr != nil && err != nil {
+		return classifyError(writeErr)
+	}
+	return err
+}
+
+// receive reads the head of the response to a request and skips responses to earlier ones.
+func (r *Response) receive(q *Request) error {
 	for range maxUnmatched + 1 {
 		p, err := r.readHead(q)
 		if err != nil {
@@ -193,7 +205,7 @@
 // runBody sends a streamed body.
 func (r *Response) runBody(q *Request) {
 	err := r.copyBody(q)
-	if err != nil {
+	if err != nil && !r.conn.refusesWrites() {
 		// A truncated body must not look complete.
 		r.conn.abort()
 	}
@@ -242,7 +254,7 @@
 
 func (r *Response) setHead(p *http.Response) {
 	r.Status, r.Header, r.Length, r.body = p.StatusCode, p.Header, p.ContentLength, p.Body
-	r.closes = p.Close
+	r.closes = p.Close || r.conn.refusesWrites()
 	r.conn.applyKeepAlive(p.Header)
 }
 
