pooler: a refusal is read after the upstream refused the rest of the request

What callers saw on the own interface: a long request that an upstream refuses by its head ("not run") and whose connection it closes was reported as unknown, upstream connection lost, so that a request that may run once was not tried elsewhere.

The begin is told by the trace now.

Why it works: a write that the upstream refuses in the middle of a request counts as done, and the read returns the response, or the error that the write had. If nothing of the request was written, the error is returned as before: the transport then knows that it did not run.

--- /dev/null
+++ b/internal/connection/pooler/refusal.go
@@ -0,0 +1,48 @@
+package pooler
+
+import (
+	"context"
+	"errors"
+	"net"
+	"net/http/httptrace"
+	"sync/atomic"
+	"syscall"
+)
+
+// refusableConn is a connection to an upstream that may respond and close before it has read a
+// whole request. The transport drops that response if a write fails, so writes that the upstream
+// refuses in the middle of a request count as done. Reads then return the response, or the error.
+type refusableConn struct {
+	net.Conn
+	// written reports whether a part of the current request was written.
+	written atomic.Bool
+}
+
+// dialRefusable opens a connection that tolerates refused writes.
+func (d dialer) dialRefusable(ctx context.Context, address string) (net.Conn, error) {
+	c, err := d(ctx, address)
+	if err != nil {
+		return nil, err
+	}
+	return &refusableConn{Conn: c}, nil
+}
+
+// beginRequest is called with the connection that was chosen for a request.
+func beginRequest(i httptrace.GotConnInfo) {
+	if c, ok := i.Conn.(*refusableConn); ok {
+		c.written.Store(false)
+	}
+}
+
+// Write implements net.Conn. If nothing of the request was written, it returns the error, since the
+// transport then knows that the request did not run.
+func (c *refusableConn) Write(b []byte) (int, error) {
+	n, err := c.Conn.Write(b)
+	if n > 0 {
+		c.written.Store(true)
+	}
+	if c.written.Load() && (errors.Is(err, syscall.EPIPE) || errors.Is(err, syscall.ECONNRESET)) {
+		return len(b), nil
+	}
+	return n, err
+}
--- a/internal/connection/pooler/send.go
+++ b/internal/connection/pooler/send.go
@@ -112,6 +112,7 @@
 
 func (a *attempt) request(ctx context.Context) (*http.Request, error) {
 	t := &httptrace.ClientTrace{
+		GotConn: beginRequest,
 		// The head of a request is flushed only after this call, so a request
 		// that fails before it did not run.
 		WroteHeaders: func() { a.sent.Store(true) },
--- a/internal/connection/pooler/transport.go
+++ b/internal/connection/pooler/transport.go
@@ -78,7 +78,7 @@
 // first. Without the limit, such dials can open more than slots+spareConns connections
 // (TestSlotsAreExact).
 func newRequestTransport(slots int, dial dialer) *http.Transport {
-	t := newTransport(slots+spareConns, dial)
+	t := newTransport(slots+spareConns, dial.dialRefusable)
 	t.MaxConnsPerHost = slots + spareConns
 	return t
 }
