linker: a response is read although the write of its request failed

What callers saw: a request that another daemon had run and answered was reported as unknown, link lost, if the link ended right after the answer: 502 for a request that may run once, though its answer, whole or begun, had arrived here.

Cause: an error of a write taken for "no answer". yamux waits for the result of a write and for the end of the session at once, and reports either. If the owner answers and closes before the writer has taken the result, the write of the request fails with "session shutdown", although the request was sent, and Run returned without reading what the stream held.

Why it works: reads of a session or stream that ended return what was received, and then the end; a call whose response was not received is lost as before. A write that timed out or was never made ends the call as before, since a read could wait for ever there.

Ruled out by tests that pass before and after: bytes that the closing side lost, an answer that is read only after the link ended, a reset after the answer arrived, and the same for a request's body and for "not run".

connectManagers closed a channel twice if the link was dialled again, and ended the test binary under load; it closes it once. No check changed.

--- a/internal/connection/linker/call.go
+++ b/internal/connection/linker/call.go
@@ -2,10 +2,14 @@
 
 import (
 	"context"
+	"errors"
 	"io"
+	"net"
 	"net/http"
 	"time"
 
+	"github.com/hashicorp/yamux"
+
 	"github.com/gullvale/gullvale/internal/connection/framer"
 	"github.com/gullvale/gullvale/internal/connection/pooler"
 	"github.com/gullvale/gullvale/internal/request/exchanger"
@@ -59,12 +63,21 @@
 	stop := context.AfterFunc(ctx, func() { stream.SetDeadline(time.Now()) })
 	defer stop()
 	o := &outboundCall{call: c, peer: p, session: s, stream: stream, writer: framer.NewWriter(stream), reader: framer.NewReader(stream)}
-	if err := o.writer.Message(framer.KindRequest, newRequestMessage(c, relay, now)); err != nil {
+	err = o.writer.Message(framer.KindRequest, newRequestMessage(c, relay, now))
+	if err != nil && !endsReads(err) {
 		return o.linkLost(ctx)
 	}
+	// The request may have been written, and its response received, before the link ended.
 	return o.run(ctx)
 }
 
+// endsReads reports whether reads of a stream end after what was received, since a write failed
+// with err.
+func endsReads(err error) bool {
+	var failed *net.OpError
+	return errors.Is(err, yamux.ErrSessionShutdown) || errors.Is(err, yamux.ErrConnectionReset) || errors.As(err, &failed)
+}
+
 func (o *outboundCall) run(ctx context.Context) exchanger.Result {
 	for {
 		f, err := o.reader.Read()
--- a/internal/connection/linker/link_test.go
+++ b/internal/connection/linker/link_test.go
@@ -4,6 +4,7 @@
 	"context"
 	"fmt"
 	"net"
+	"sync"
 	"sync/atomic"
 	"testing"
 	"time"
@@ -41,10 +42,12 @@
 		return registrar.Member{Incarnation: "a", Site: "erie/a"}
 	}}
 	accepted := make(chan struct{})
+	// The link is dialled again if it ends.
+	var once sync.Once
 	to = &linker.Manager{
 		Clock:    clock,
 		Self:     func() registrar.Member { return member },
-		Accepted: func(*linker.Session) { close(accepted) },
+		Accepted: func(*linker.Session) { once.Do(func() { close(accepted) }) },
 		Serve: func(context.Context, *exchanger.Call, bool) exchanger.Result {
 			return exchanger.Result{Outcome: exchanger.Answered, Whole: true, Upstream: "u"}
 		},
