linker: the error of a window update hides nothing that was received

What callers saw: an answer that had arrived whole was reported as cut off, if the link failed while it was being passed on.

A read of a yamux stream that passes half of its window returns the data and the error of the window update that it sends; the reader's buffer keeps that error for the next call, although the stream holds more.

Why it works: a read that has data returns it alone. If the link has ended, the next read returns what is left, and then the end.

--- a/internal/connection/linker/call.go
+++ b/internal/connection/linker/call.go
@@ -62,7 +62,7 @@
 	}
 	stop := context.AfterFunc(ctx, func() { stream.SetDeadline(time.Now()) })
 	defer stop()
-	o := &outboundCall{call: c, peer: p, session: s, stream: stream, writer: framer.NewWriter(stream), reader: framer.NewReader(stream)}
+	o := &outboundCall{call: c, peer: p, session: s, stream: stream, writer: framer.NewWriter(stream), reader: framer.NewReader(streamReader{stream})}
 	err = o.writer.Message(framer.KindRequest, newRequestMessage(c, relay, now))
 	if err != nil && !endsReads(err) {
 		return o.linkLost(ctx)
--- a/internal/connection/linker/conn.go
+++ b/internal/connection/linker/conn.go
@@ -1,6 +1,7 @@
 package linker
 
 import (
+	"io"
 	"net"
 	"sync/atomic"
 	"time"
@@ -12,6 +13,22 @@
 // side sends a ping after idlePingInterval, so a link silent for longer is half open.
 const acceptedReadTimeout = 3 * idlePingInterval
 
+// streamReader reads a stream of yamux. A read may return both data and the error of the window
+// update that follows it. The error is left out: if it lasts, the next read returns it after all
+// data that was received.
+type streamReader struct {
+	stream io.Reader
+}
+
+// Read implements io.Reader.
+func (r streamReader) Read(p []byte) (int, error) {
+	n, err := r.stream.Read(p)
+	if n > 0 {
+		return n, nil
+	}
+	return n, err
+}
+
 // linkConn is the network connection of a link. It counts bytes and records when data
 // was last read.
 type linkConn struct {
--- a/internal/connection/linker/loss_test.go
+++ b/internal/connection/linker/loss_test.go
@@ -27,6 +27,9 @@
 	yamuxSyn          = 1
 	yamuxFin          = 4
 
+	// halfWindowBytes is how much of a stream is read before its window is updated.
+	halfWindowBytes = 128 << 10
+
 	// smallBuffer is a receive buffer that a short answer does not fit into.
 	smallBuffer = 2 << 10
 )
@@ -393,6 +396,56 @@
 	answerThenClose(t, true, 0)
 }
 
+// readSlowly returns a call whose caller takes the first chunk only after reached.
+func readSlowly(reached <-chan struct{}) (x *exchanger.Call, body *int) {
+	x, _, body = countingCall()
+	x.Write = func(p []byte) error {
+		<-reached
+		*body += len(p)
+		return nil
+	}
+	return x, body
+}
+
+// TestFailedWindowUpdateKeepsBufferedAnswer guards against the loss of an answer that is
+// wholly in the buffer of its stream: the read that passes half the window returns bytes
+// and the error of the window update.
+func TestFailedWindowUpdateKeepsBufferedAnswer(t *testing.T) {
+	is := is.New(t)
+	// Chunks below the reader's buffer go through it, and it keeps the error for later.
+	const bodyBytes, chunkBytes = halfWindowBytes + 64<<10, 4000
+	dialled, accepts := newOrderedConn(), newOrderedConn()
+	var total atomic.Int64
+	var once sync.Once
+	arrived := make(chan struct{})
+	dialled.beforeRead = func() {
+		if n := total.Load(); n > 0 && dialled.received.Load() >= n {
+			once.Do(func() { close(arrived) })
+		}
+	}
+	dialled.beforeWrite = func([]byte) error {
+		select {
+		case <-arrived:
+			return syscall.EPIPE
+		default:
+			return nil
+		}
+	}
+	o := connectInOrder(t, dialled, accepts)
+	o.to.Serve = answerWhole(is, bodyBytes, chunkBytes)
+	// The count is known before the last bytes leave.
+	accepts.beforeWrite = func(p []byte) error {
+		if isWindowUpdate(p, yamuxFin) {
+			total.Store(accepts.sent.Load() + yamuxHeaderBytes)
+		}
+		return nil
+	}
+	x, body := readSlowly(arrived)
+	r := o.peer.Run(context.Background(), x, false)
+	is.Equal(*body, bodyBytes)
+	is.True(r.Whole)
+}
+
 // serveBody returns a Serve that reads the request's body once ready is closed, and the
 // channel for what it read.
 func serveBody(ready <-chan struct{}) (serve func(context.Context, *exchanger.Call, bool) exchanger.Result, read chan error, body *[]byte) {
--- a/internal/connection/linker/serve.go
+++ b/internal/connection/linker/serve.go
@@ -39,7 +39,7 @@
 	defer stream.Close()
 	ctx, cancel := context.WithCancel(ctx)
 	defer cancel()
-	in := &inboundCall{writer: framer.NewWriter(stream), reader: framer.NewReader(stream), cancel: cancel}
+	in := &inboundCall{writer: framer.NewWriter(stream), reader: framer.NewReader(streamReader{stream}), cancel: cancel}
 	f, err := in.reader.Read()
 	var q framer.Request
 	if err != nil || f.Kind != framer.KindRequest || f.Decode(&q) != nil {
--- a/internal/connection/linker/session.go
+++ b/internal/connection/linker/session.go
@@ -135,7 +135,7 @@
 
 func newSession(w *linkConn, mux *yamux.Session, stream net.Conn) *Session {
 	c := countingConn{stream, w.counters}
-	s := &Session{linkConn: w, mux: mux, control: c, writer: framer.NewWriter(c), reader: framer.NewReader(c)}
+	s := &Session{linkConn: w, mux: mux, control: c, writer: framer.NewWriter(c), reader: framer.NewReader(streamReader{c})}
 	s.recordReply(w.lastReadTime())
 	return s
 }
