linker: what the remote end sent is read before a failed write closes the link

What callers saw: a whole answer was lost, and its request reported as unknown, if the owner answered and closed the link while this daemon was sending on it (an upload, other calls, heartbeats).

Cause: yamux closes the connection as soon as a write fails, while its reading goroutine may have bytes left to read.

Why it works: EPIPE and ECONNRESET say that the remote end has closed, so reads do not block and end by themselves; the connection is closed after that, or after half a second. Session.Close does not wait any more, since the sender of a frame must not wait for it; a ping without a reply closes the session at once as before.

--- a/internal/connection/linker/conn.go
+++ b/internal/connection/linker/conn.go
@@ -1,17 +1,27 @@
 package linker
 
 import (
+	"errors"
 	"io"
 	"net"
+	"sync"
 	"sync/atomic"
+	"syscall"
 	"time"
 
 	"github.com/gullvale/gullvale/pkg/timekeeper"
 )
 
-// acceptedReadTimeout closes an accepted link over which nothing arrives. The dialling
-// side sends a ping after idlePingInterval, so a link silent for longer is half open.
-const acceptedReadTimeout = 3 * idlePingInterval
+const (
+	// acceptedReadTimeout closes an accepted link over which nothing arrives. The
+	// dialling side sends a ping after idlePingInterval, so a link silent for longer is
+	// half open.
+	acceptedReadTimeout = 3 * idlePingInterval
+
+	// closeTimeout bounds how long a link that is closed is read to its end: a few round
+	// trips between the farthest regions.
+	closeTimeout = 500 * timekeeper.Millis(1)
+)
 
 // streamReader reads a stream of yamux. A read may return both data and the error of the window
 // update that follows it. The error is left out: if it lasts, the next read returns it after all
@@ -41,10 +51,15 @@
 	// only by the reading goroutine.
 	readTimeout timekeeper.Millis
 	deadlineSet timekeeper.Millis
+	// refused reports whether the remote end refused a write.
+	refused atomic.Bool
+	// readEnded is closed once a read failed, after which nothing more can be read.
+	readEnded     chan struct{}
+	readEndedOnce sync.Once
 }
 
 func newLinkConn(c net.Conn, clock timekeeper.Clock, counters *Counters, readTimeout timekeeper.Millis) *linkConn {
-	w := &linkConn{Conn: c, clock: clock, counters: counters, readTimeout: readTimeout}
+	w := &linkConn{Conn: c, clock: clock, counters: counters, readTimeout: readTimeout, readEnded: make(chan struct{})}
 	w.lastRead.Store(int64(clock.Now()))
 	return w
 }
@@ -58,15 +73,40 @@
 	if n > 0 {
 		w.lastRead.Store(int64(w.clock.Now()))
 	}
+	if err != nil {
+		w.readEndedOnce.Do(func() { close(w.readEnded) })
+	}
 	return n, err
 }
 
 func (w *linkConn) Write(p []byte) (int, error) {
 	n, err := w.Conn.Write(p)
 	w.counters.WireOut.Add(uint64(n))
+	if errors.Is(err, syscall.EPIPE) || errors.Is(err, syscall.ECONNRESET) {
+		w.refused.Store(true)
+	}
 	return n, err
 }
 
+// Close closes the connection. yamux calls it as soon as a write fails: if the remote end has closed
+// the connection, what it sent before is read first.
+func (w *linkConn) Close() error {
+	if w.refused.Load() {
+		w.awaitReadEnd()
+	}
+	return w.Conn.Close()
+}
+
+// awaitReadEnd waits until everything that the remote end sent was read.
+func (w *linkConn) awaitReadEnd() {
+	t := time.NewTimer(closeTimeout.Duration())
+	defer t.Stop()
+	select {
+	case <-w.readEnded:
+	case <-t.C:
+	}
+}
+
 // extendDeadline moves the read deadline forward. It does so at most once in an eighth
 // of the timeout, which keeps the cost of frequent reads low.
 func (w *linkConn) extendDeadline() error {
--- a/internal/connection/linker/loss_test.go
+++ b/internal/connection/linker/loss_test.go
@@ -334,6 +334,42 @@
 	is.Equal(*body, 10)
 }
 
+// TestFailedWriteKeepsAnswerThatIsNotReadYet guards against a session that closes its
+// connection because a write failed, with a whole answer still unread: the other side
+// answered and closed, and the kernel refuses a control frame that is sent afterwards.
+func TestFailedWriteKeepsAnswerThatIsNotReadYet(t *testing.T) {
+	is := is.New(t)
+	dialled, accepts := newOrderedConn(), newOrderedConn()
+	var hold atomic.Bool
+	failed := make(chan struct{})
+	dialled.afterRead = func(p []byte) []byte {
+		if !hold.Load() {
+			return p
+		}
+		select {
+		case <-failed:
+			return p
+		case <-dialled.closing:
+			return nil
+		}
+	}
+	o := connectInOrder(t, dialled, accepts)
+	o.to.Serve = admitThen(is, answerWhole(is, 10, framer.ChunkBytes))
+	o.closeAfterAnswer()
+	go func() {
+		<-accepts.closing
+		// The first writes succeed and make the other kernel reset the connection.
+		for o.peer.Send(framer.KindFree, &framer.Free{}) {
+		}
+		close(failed)
+	}()
+	x, body := admittedCall(func() { hold.Store(true) })
+	r := o.peer.Run(context.Background(), x, false)
+	is.Equal(r.Outcome, exchanger.Answered)
+	is.True(r.Whole)
+	is.Equal(*body, 10)
+}
+
 // answerThenClose closes the link when a whole short answer was written and the other side
 // has not read it yet. With unread, a control frame waits unread on the closing side. A
 // receiveBytes below the answer keeps most of it in the kernel of the closing side.
--- a/internal/connection/linker/ping.go
+++ b/internal/connection/linker/ping.go
@@ -71,7 +71,7 @@
 		s.pingSent.Store(int64(p.manager.Clock.Now()))
 		p.manager.counters.Pings.Add(1)
 		if _, err := s.mux.Ping(); err != nil {
-			s.Close()
+			s.abort()
 			return
 		}
 		s.recordReply(p.manager.Clock.Now())
--- a/internal/connection/linker/session.go
+++ b/internal/connection/linker/session.go
@@ -175,8 +175,17 @@
 	return s.writer.Message(k, m)
 }
 
-// Close closes the session and aborts all requests on it.
+// Close closes the session and aborts all requests on it. It does not wait.
 func (s *Session) Close() {
+	go s.runClose()
+}
+
+func (s *Session) runClose() {
+	s.abort()
+}
+
+// abort closes the session without waiting for the remote end.
+func (s *Session) abort() {
 	s.mux.Close()
 }
 
