linker, runner: a planned stop waits until the result of each linked request is sent

What callers could see: a request that another daemon ran for them, cut off at the planned stop of that daemon, although its answer was ready.

Cause: the stop waits until no request is in flight, and the forwarder counts a linked request only until its run returns; its End frame is written after that. The link can be closed in between.

Evidence: a trial that closes the link between the two, in the hook that adds the free slots to the End frame: 100 of 100 calls end as unknown, link lost, with nothing passed on. Whether a stop hits that gap was not seen in a run of processes; it is read in the code. TestRequestIsServedUntilItsResultIsSent reads the number that the stop waits for while the End frame is being written: 1, where the forwarder's is 0.

Why it works: the link manager counts a request from its stream's acceptance until the stream is closed, and the stop waits for both numbers.

--- a/internal/connection/linker/loss_test.go
+++ b/internal/connection/linker/loss_test.go
@@ -7,6 +7,7 @@
 	"errors"
 	"io"
 	"net"
+	"runtime"
 	"sync"
 	"sync/atomic"
 	"syscall"
@@ -578,3 +579,25 @@
 	is.True(!requested.Load())
 	is.Equal(served.Load(), int64(0))
 }
+
+// TestRequestIsServedUntilItsResultIsSent guards against a planned stop that takes a request for
+// done, and closes its link, before its End frame is written.
+func TestRequestIsServedUntilItsResultIsSent(t *testing.T) {
+	is := is.New(t)
+	accepts := newOrderedConn()
+	o := connectInOrder(t, newOrderedConn(), accepts)
+	o.to.Serve = answerWhole(is, 10, framer.ChunkBytes)
+	var serving atomic.Int64
+	accepts.beforeWrite = func(p []byte) error {
+		if isFrame(p, framer.KindEnd) {
+			serving.Store(o.to.Serving())
+		}
+		return nil
+	}
+	r := o.peer.Run(context.Background(), call(), false)
+	is.True(r.Whole)
+	is.Equal(serving.Load(), int64(1))
+	for o.to.Serving() > 0 {
+		runtime.Gosched()
+	}
+}
--- a/internal/connection/linker/manager.go
+++ b/internal/connection/linker/manager.go
@@ -4,6 +4,7 @@
 	"context"
 	"net"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"golang.org/x/time/rate"
@@ -47,6 +48,8 @@
 		FreeSlots func(pooler.Key) (free, slots int)
 
 		counters Counters
+		// serving is the number of requests received whose End frame is not written yet.
+		serving atomic.Int64
 
 		lock     sync.Mutex
 		peers    map[registrar.Incarnation]*Peer
@@ -63,6 +66,11 @@
 	return &m.counters
 }
 
+// Serving returns the number of requests received over links whose result is not sent yet.
+func (m *Manager) Serving() int64 {
+	return m.serving.Load()
+}
+
 // Accept serves links on l until ctx is done.
 func (m *Manager) Accept(ctx context.Context, l net.Listener) {
 	stop := context.AfterFunc(ctx, func() { l.Close() })
--- a/internal/connection/linker/serve.go
+++ b/internal/connection/linker/serve.go
@@ -37,6 +37,8 @@
 
 func (m *Manager) runStream(ctx context.Context, s *Session, stream net.Conn) {
 	defer stream.Close()
+	m.serving.Add(1)
+	defer m.serving.Add(-1)
 	ctx, cancel := context.WithCancel(ctx)
 	defer cancel()
 	in := &inboundCall{writer: framer.NewWriter(stream), reader: framer.NewReader(streamReader{stream}), cancel: cancel}
--- a/internal/process/runner/stop.go
+++ b/internal/process/runner/stop.go
@@ -109,7 +109,7 @@
 		}
 	}
 	const noDeadline = 1 << 62
-	d.waitUntil(ctx, noDeadline, func() bool { return d.forwarder.InFlight() == 0 })
+	d.waitUntil(ctx, noDeadline, func() bool { return d.forwarder.InFlight() == 0 && d.links.Serving() == 0 })
 }
 
 // releaseLease releases the leader lease, so that the next leader need not wait for it
