linker: failing test of a stream that is reset before its answer is read

What callers could see: a long answer that is cut off, if its caller still reads 5 min after the owner has sent all of it.

Cause: a read of a yamux stream that was reset returns the reset and not what the stream holds. An owner resets a stream that its other end has not closed 5 min after its own close. No other reset of a stream with data is known.

--- a/internal/connection/linker/loss_test.go
+++ b/internal/connection/linker/loss_test.go
@@ -27,6 +27,10 @@
 	yamuxWindowUpdate = 1
 	yamuxSyn          = 1
 	yamuxFin          = 4
+	yamuxReset        = 8
+
+	// firstCallStream is the stream of the first call over a link that this side dialled.
+	firstCallStream = 3
 
 	// halfWindowBytes is how much of a stream is read before its window is updated.
 	halfWindowBytes = 128 << 10
@@ -601,3 +605,44 @@
 		runtime.Gosched()
 	}
 }
+
+// TestStreamResetKeepsBufferedAnswer guards against the loss of an answer that is wholly in
+// the buffer of its stream when the owner's yamux resets the stream, which it does when
+// the stream stays half closed for too long.
+func TestStreamResetKeepsBufferedAnswer(t *testing.T) {
+	is := is.New(t)
+	const bodyBytes = 3 * framer.ChunkBytes
+	dialled, accepts := newOrderedConn(), newOrderedConn()
+	var total atomic.Int64
+	var once sync.Once
+	var injected bool
+	reached := make(chan struct{})
+	dialled.afterRead = func(p []byte) []byte {
+		if n := total.Load(); n == 0 || dialled.received.Load() < n || injected {
+			return p
+		}
+		injected = true
+		reset := make([]byte, yamuxHeaderBytes)
+		reset[1] = yamuxWindowUpdate
+		binary.BigEndian.PutUint16(reset[2:], yamuxReset)
+		binary.BigEndian.PutUint32(reset[4:], firstCallStream)
+		return append(bytes.Clone(p), reset...)
+	}
+	dialled.beforeRead = func() {
+		if injected {
+			once.Do(func() { close(reached) })
+		}
+	}
+	accepts.beforeWrite = func(p []byte) error {
+		if isWindowUpdate(p, yamuxFin) {
+			total.Store(accepts.sent.Load() + yamuxHeaderBytes)
+		}
+		return nil
+	}
+	o := connectInOrder(t, dialled, accepts)
+	o.to.Serve = answerWhole(is, bodyBytes, framer.ChunkBytes)
+	x, body := readSlowly(reached)
+	r := o.peer.Run(context.Background(), x, false)
+	is.Equal(*body, bodyBytes)
+	is.True(r.Whole)
+}
