linker: a response to a caller that left ends at once

What callers saw: a caller that leaves in the middle of a long answer keeps a slot of its upstream for up to five minutes, if another daemon owns the upstream.

Cause: the owner's write waits until the other end of the stream reads, which it no longer does. The end of the stream cancels the request's context, which does not end the write; only the reset that yamux sends after five minutes did.

Why it works: the reader of the stream that notices its end makes pending and later writes to it fail.

--- a/internal/connection/linker/loss_test.go
+++ b/internal/connection/linker/loss_test.go
@@ -12,6 +12,7 @@
 	"sync/atomic"
 	"syscall"
 	"testing"
+	"time"
 
 	"github.com/matryer/is"
 
@@ -646,3 +647,27 @@
 	is.Equal(*body, bodyBytes)
 	is.True(r.Whole)
 }
+
+// TestResponseToCallerThatLeftEnds guards against an owner that keeps a slot since it writes a long
+// response that nobody reads.
+func TestResponseToCallerThatLeftEnds(t *testing.T) {
+	var s manualClock
+	_, to, p := connectManagers(t, s.newClock())
+	failed := make(chan error, 1)
+	to.Serve = func(_ context.Context, x *exchanger.Call, _ bool) exchanger.Result {
+		err := x.Start(exchanger.Response{Status: 200, Length: -1})
+		for err == nil {
+			err = x.Write(make([]byte, framer.ChunkBytes))
+		}
+		failed <- err
+		return exchanger.Result{}
+	}
+	x := call()
+	x.Write = func([]byte) error { return context.Canceled }
+	p.Run(context.Background(), x, false)
+	select {
+	case <-failed:
+	case <-time.After(10 * time.Second):
+		t.Error("the owner still writes a response that nobody reads")
+	}
+}
--- a/internal/connection/linker/serve.go
+++ b/internal/connection/linker/serve.go
@@ -5,6 +5,7 @@
 	"io"
 	"net"
 	"net/http"
+	"time"
 
 	"github.com/gullvale/gullvale/internal/connection/framer"
 	"github.com/gullvale/gullvale/internal/connection/pooler"
@@ -41,7 +42,12 @@
 	defer m.serving.Add(-1)
 	ctx, cancel := context.WithCancel(ctx)
 	defer cancel()
-	in := &inboundCall{writer: framer.NewWriter(stream), reader: framer.NewReader(streamReader{stream}), cancel: cancel}
+	in := &inboundCall{writer: framer.NewWriter(stream), reader: framer.NewReader(streamReader{stream})}
+	in.cancel = func() {
+		cancel()
+		// A write waits for the other end to read, which it no longer does.
+		_ = stream.SetWriteDeadline(time.Now())
+	}
 	f, err := in.reader.Read()
 	var q framer.Request
 	if err != nil || f.Kind != framer.KindRequest || f.Decode(&q) != nil {
