leaser: a return of the store makes neither two holders nor a second use of a fence

What operators and callers could see: after the platform's store had returned from an older copy, two daemons led a region, or none did: a lease that the copy lacks was taken at once although its holder relied on it for up to 3 s more, the holder dropped it when it read the copy's record, and the next fence could be one that had been given before. By reading only: a process that had known a lease which the copy lacks never acquires it again, since its writes carry a revision of the former copy.

Cause: the record was taken for the last one written.

Change: the record states the era in which it was written. A holder whose term has not passed writes its record again over one of an earlier era. A candidate takes such a record over, or an absent one in an era above 0, only after it has seen the era for as long as it must see an unchanged revision: by then the term of a holder that the copy lacks has passed. Fences of an era begin above all of earlier eras, so that a candidate need not have seen the highest. A record of a copy is no fence regression.

On the way: a renewal whose result stayed unknown and the next one were equal, so the read-back of the second could take the first for it and count the term from too late. Each attempt has a number of its own now. Read in the code, not shown by a run.

A holder of a version without eras writes no era, so while versions are mixed the former rules hold between it and others.

--- a/pkg/leaser/lease.go
+++ b/pkg/leaser/lease.go
@@ -21,6 +21,10 @@
 	// renewalsPerTerm is the number of renewals within one term.
 	renewalsPerTerm = 3
 
+	// fencesPerEra is the number of fences in an era of the store. A later era begins above all
+	// fences of earlier ones, which a candidate need not have seen.
+	fencesPerEra = 1 << 32
+
 	// takeoverPercent is how long a lease must stay unchanged before a candidate
 	// takes over, in percent of the term. The excess over 100 allows for clocks
 	// that run at different rates.
@@ -49,6 +53,8 @@
 		Released bool
 		// TermMillis is the term that the holder relies on.
 		TermMillis timekeeper.Millis
+		// Era is the era of the store in which the record was written.
+		Era storer.Era `json:",omitempty"`
 	}
 
 	// Lease is a candidate's view of a lease. Set the exported fields before
@@ -72,6 +78,13 @@
 		sentAt         timekeeper.Millis
 		held           bool
 		reachable      bool
+		// era is the era of the store in which the lease was last read or written, and
+		// eraSince when that era was first observed.
+		era      storer.Era
+		eraSince timekeeper.Millis
+		// own is the record last written, and highest the highest fence seen.
+		own     Record
+		highest Fence
 		// fenceRegressions counts records with a lower fence than one seen before,
 		// or with the same fence and another holder.
 		fenceRegressions atomic.Uint64
@@ -86,7 +99,7 @@
 	if !l.held || l.Clock.Now() >= l.sentAt+l.term() {
 		return 0, false
 	}
-	return l.record.Fence, true
+	return l.own.Fence, true
 }
 
 // Current returns the record as last read and reports whether its holder may
@@ -94,7 +107,7 @@
 func (l *Lease) Current() (Record, bool) {
 	l.lock.Lock()
 	defer l.lock.Unlock()
-	if l.revision == 0 || l.record.Released {
+	if l.absent() || l.record.Released {
 		return l.record, false
 	}
 	return l.record, l.Clock.Now() < l.unchangedSince+l.takeoverDelay()
@@ -163,22 +176,25 @@
 		return nil
 	}
 	l.lock.Lock()
-	next := l.record
+	next := l.own
 	at := l.revision
 	l.held = false
 	l.lock.Unlock()
 	next.Renewal++
 	next.Released = true
+	next.Era = at.Era()
 	_, err := l.Store.Update(ctx, l.Name, encode(next), at)
 	return err
 }
 
 func (l *Lease) renew(ctx context.Context) {
 	l.lock.Lock()
-	next := l.record
+	// Each attempt has a number of its own, also if the result of the one before is unknown.
+	l.own.Renewal++
+	next := l.own
 	at := l.revision
 	l.lock.Unlock()
-	next.Renewal++
+	next.Era = at.Era()
 	l.write(ctx, next, at)
 }
 
@@ -188,9 +204,10 @@
 		Holder:     l.Holder,
 		Address:    l.Address,
 		Before:     l.record.Holder,
-		Fence:      l.record.Fence + 1,
+		Fence:      max(l.record.Fence, l.highest, Fence(l.era)*fencesPerEra) + 1,
 		Renewal:    1,
 		TermMillis: l.term(),
+		Era:        l.era,
 	}
 	at := l.revision
 	l.lock.Unlock()
@@ -214,15 +231,17 @@
 }
 
 func (l *Lease) put(ctx context.Context, next Record, at storer.Revision) (storer.Revision, error) {
-	if at == 0 {
-		return l.Store.Create(ctx, l.Name, encode(next))
+	if at.Number() == 0 {
+		return l.Store.CreateIn(ctx, at.Era(), l.Name, encode(next))
 	}
 	return l.Store.Update(ctx, l.Name, encode(next), at)
 }
 
 // resolveWrite reads the lease back after a conflict or a write with an unknown result.
 // If the stored record is the one that was written, the lease is held. Otherwise it stays
-// held only if this process is still its holder.
+// held only if this process is still its holder, or if the record is of an older copy that the
+// store has returned from: no candidate takes over before the term of this holder has passed, and
+// the next renewal writes its record again.
 func (l *Lease) resolveWrite(ctx context.Context, wanted Record, sent timekeeper.Millis) {
 	if err := l.refresh(ctx); err != nil {
 		return
@@ -230,17 +249,21 @@
 	l.lock.Lock()
 	defer l.lock.Unlock()
 	if l.record == wanted {
+		l.own = wanted
 		l.held = true
 		l.sentAt = sent
 		return
 	}
-	l.held = l.held && l.record.Holder == l.Holder && !l.record.Released
+	l.held = l.held && (l.copied() || l.record.Holder == l.Holder && !l.record.Released)
 }
 
 func (l *Lease) recordWrite(r Record, at storer.Revision, sent timekeeper.Millis) {
 	l.lock.Lock()
 	defer l.lock.Unlock()
+	l.observeEra(at.Era())
 	l.record = r
+	l.own = r
+	l.highest = max(l.highest, r.Fence)
 	l.revision = at
 	l.unchangedSince = l.Clock.Now()
 	l.sentAt = sent
@@ -251,7 +274,7 @@
 func (l *Lease) refresh(ctx context.Context) error {
 	o, err := l.Store.Get(ctx, l.Name)
 	if errors.Is(err, storer.ErrNotFound) {
-		l.setReachable(true)
+		l.recordAbsent()
 		return nil
 	}
 	if err != nil {
@@ -265,9 +288,12 @@
 	l.lock.Lock()
 	defer l.lock.Unlock()
 	l.reachable = true
-	if r.Fence < l.record.Fence || r.Fence == l.record.Fence && r.Holder != l.record.Holder {
+	sameEra := o.Revision.Era() == l.era
+	if sameEra && (r.Fence < l.record.Fence || r.Fence == l.record.Fence && r.Holder != l.record.Holder) {
 		l.fenceRegressions.Add(1)
 	}
+	l.observeEra(o.Revision.Era())
+	l.highest = max(l.highest, r.Fence)
 	// The revision may be known from Observe, which does not provide the record.
 	l.record = r
 	if o.Revision != l.revision {
@@ -280,12 +306,49 @@
 func (l *Lease) available() bool {
 	l.lock.Lock()
 	defer l.lock.Unlock()
-	if l.revision == 0 || l.record.Released {
+	if l.copied() && l.Clock.Now() < l.eraSince+l.takeoverDelay() {
+		// The copy may lack the record of a holder.
+		return false
+	}
+	if l.absent() || l.record.Released {
 		return true
 	}
 	return l.Clock.Now() >= l.unchangedSince+l.takeoverDelay()
 }
 
+// recordAbsent records that there is no lease object. An object is never deleted, so the store has
+// returned from a copy without it if there was one.
+func (l *Lease) recordAbsent() {
+	l.lock.Lock()
+	defer l.lock.Unlock()
+	l.reachable = true
+	e := l.Store.Era()
+	l.observeEra(e)
+	if l.revision.Era() != e {
+		l.record = Record{}
+		l.revision = storer.RevisionAt(e, 0)
+	}
+}
+
+// observeEra records the era of the store. The caller must hold the lock.
+func (l *Lease) observeEra(e storer.Era) {
+	if e != l.era || l.eraSince == 0 {
+		l.era = e
+		l.eraSince = l.Clock.Now()
+	}
+}
+
+// absent reports whether no lease object is known. The caller must hold the lock.
+func (l *Lease) absent() bool {
+	return l.revision.Number() == 0
+}
+
+// copied reports whether the record, or its absence, may be that of an older copy which the store
+// has returned from. The caller must hold the lock.
+func (l *Lease) copied() bool {
+	return l.era > 0 && (l.absent() || l.record.Era < l.era)
+}
+
 func (l *Lease) clearHeld() {
 	l.lock.Lock()
 	defer l.lock.Unlock()
