heartbeater, cataloger, platform: announced departures are repeated

Cause: an announcement was one datagram to the members that the announcer knew at that moment, and nothing repeated it. A daemon that was unknown to it, started later or lost the datagram learnt only by the response to its own first request there.

Heartbeats now carry a digest of the listed upstreams that leave by announcements alone. Whoever hears another digest sends the hashes of those that it knows and gets the rest, so that all members know within three heartbeats, also those that start later and those of other regions. What the store reports isn't in the digest. A daemon without upstreams, or of a version without the field, sends none and is asked nothing.

--- a/internal/process/heartbeater/heartbeater.go
+++ b/internal/process/heartbeater/heartbeater.go
@@ -131,6 +131,9 @@
 		// OnLeaving is called with the upstreams that another member announced as leaving. May
 		// be nil.
 		OnLeaving func([]cataloger.Departure)
+		// Catalog returns the upstreams known here. Members share the announcements that they
+		// leave. Nil disables this.
+		Catalog func() *cataloger.Snapshot
 		// Quarantine holds the requests suspected of crashing upstreams, which members
 		// share. Nil disables sharing. OnSuspects is called with the changes learned from
 		// other members; it may be nil.
@@ -247,6 +250,7 @@
 	if d.Beat != nil && d.Beat.From != nil {
 		b.handleBeat(d.Beat)
 		b.syncSuspects(d.Beat)
+		b.syncDepartures(d.Beat)
 	}
 	if d.Ask != nil {
 		b.handleAsk(d.Ask)
@@ -260,6 +264,9 @@
 	if d.Departures != nil {
 		b.handleLeaving(d.Departures)
 	}
+	if d.DepartureQuery != nil {
+		b.handleDepartureQuery(d.DepartureQuery)
+	}
 	if d.Suspects != nil {
 		b.handleSuspects(d.Suspects)
 	}
--- a/internal/process/heartbeater/heartbeater_test.go
+++ b/internal/process/heartbeater/heartbeater_test.go
@@ -9,6 +9,7 @@
 
 	"github.com/gullvale/gullvale/internal/process/heartbeater"
 	"github.com/gullvale/gullvale/internal/request/quarantiner"
+	"github.com/gullvale/gullvale/internal/version/cataloger"
 	"github.com/gullvale/gullvale/pkg/registrar"
 	"github.com/gullvale/gullvale/pkg/timekeeper"
 )
@@ -32,6 +33,7 @@
 		dead    bool
 		relayed []heartbeater.Changes
 		found   []quarantiner.Suspect
+		catalog *cataloger.Catalog
 	}
 )
 
--- a/internal/process/heartbeater/traffic.go
+++ b/internal/process/heartbeater/traffic.go
@@ -43,7 +43,7 @@
 		return AskPurpose
 	case d.Ended != nil:
 		return TerminatedPurpose
-	case d.Departures != nil:
+	case d.Departures != nil, d.DepartureQuery != nil:
 		return LeavingPurpose
 	case d.Suspects != nil:
 		return SuspectPurpose
--- a/internal/process/heartbeater/wire.go
+++ b/internal/process/heartbeater/wire.go
@@ -43,14 +43,15 @@
 	return watermarks
 }
 
-// send sends a datagram once to each address, with the digest of known suspects if it is a
-// heartbeat.
+// send sends a datagram once to each address, with the digests of known suspects and departures
+// if it is a heartbeat.
 func (b *Heartbeater) send(to []string, d *Datagram) {
 	if len(to) == 0 {
 		return
 	}
 	if d.Beat != nil {
 		d.Beat.Suspects = b.suspectDigest()
+		d.Beat.Departures = b.departureDigest()
 	}
 	body, err := proto.Marshal(d)
 	if err != nil {
--- a/internal/version/cataloger/catalog.go
+++ b/internal/version/cataloger/catalog.go
@@ -43,6 +43,9 @@
 		ColdUntil timekeeper.Millis
 
 		hash hasher.Hash
+		// announced reports that the upstream leaves by its own announcement and that its last
+		// report does not say so.
+		announced bool
 	}
 
 	// Snapshot is an immutable view of the catalog.
@@ -51,6 +54,11 @@
 		Change   uint64
 		services map[resolver.ServiceName][]*Upstream
 		usable   map[UpstreamID]*Upstream
+		// listsAny reports whether there are upstreams, usable or not. announced holds the
+		// departures that only announcements tell of, and announcedDigest a digest of them.
+		listsAny        bool
+		announced       []Departure
+		announcedDigest hasher.Hash
 	}
 
 	// Catalog collects reports and publishes snapshots. The zero value is an empty
@@ -156,10 +164,12 @@
 // report may be an older one. The caller must hold c.lock.
 func (c *Catalog) put(u Upstream) {
 	u.setHash()
-	if u.Leaving {
+	reported := u.Leaving
+	if reported {
 		c.departures[u.Departure()] = true
 	}
 	u.Leaving = c.departures[u.Departure()]
+	u.announced = u.Leaving && !reported
 	c.upstreams[u.ID] = &u
 }
 
@@ -294,8 +304,13 @@
 		Change:   c.Current().Change + 1,
 		services: map[resolver.ServiceName][]*Upstream{},
 		usable:   map[UpstreamID]*Upstream{},
+		listsAny: len(c.upstreams) > 0,
 	}
 	for id, u := range c.upstreams {
+		if u.announced {
+			s.announced = append(s.announced, u.Departure())
+			s.announcedDigest ^= u.Departure().Hash()
+		}
 		if u.Leaving || c.evacuated[u.Site.Domain()] {
 			continue
 		}
--- a/internal/version/cataloger/catalog_test.go
+++ b/internal/version/cataloger/catalog_test.go
@@ -173,3 +173,33 @@
 	c.Put(incarnation(0, "a:2")) // another incarnation
 	is.Equal(len(c.Current().ByService("s")), 1)
 }
+
+// TestAnnouncedDeparturesAreThoseThatNoReportTells guards against members that exchange departures
+// which the store reports anyway, and against one that an older report hides from them.
+func TestAnnouncedDeparturesAreThoseThatNoReportTells(t *testing.T) {
+	is := is.New(t)
+	var c cataloger.Catalog
+	_, known := c.Current().AnnouncedDigest()
+	is.True(!known)
+	first, reported := incarnation(100, "a:1"), incarnation(100, "a:1")
+	reported.Leaving = true
+	announced := func() bool {
+		digest, known := c.Current().AnnouncedDigest()
+		is.True(known)
+		list := c.Current().AnnouncedDepartures()
+		is.Equal(digest != 0, len(list) == 1)
+		return len(list) == 1 && list[0] == first.Departure()
+	}
+	c.Put(first)
+	is.True(!announced())
+	c.MarkLeaving(first.Departure())
+	is.True(announced())
+	c.Evacuate(first.Site.Domain())
+	is.True(announced())
+	c.Put(reported)
+	is.True(!announced())
+	c.Put(first) // an older report
+	is.True(announced())
+	c.Put(incarnation(200, "a:1"))
+	is.True(!announced())
+}
--- a/internal/version/cataloger/departure.go
+++ b/internal/version/cataloger/departure.go
@@ -3,6 +3,8 @@
 import (
 	"maps"
 	"slices"
+
+	"github.com/gullvale/gullvale/pkg/hasher"
 )
 
 // maxRemovedDepartures is the number of departures of removed upstreams that are kept. An entry
@@ -38,7 +40,7 @@
 			added = append(added, d)
 			if u := c.upstreams[d.ID]; u != nil && u.Departure() == d {
 				left := *u
-				left.Leaving = true
+				left.Leaving, left.announced = true, true
 				c.upstreams[d.ID] = &left
 			}
 		}
@@ -53,6 +55,22 @@
 	return !slices.ContainsFunc(list, func(d Departure) bool { return !c.departures[d] })
 }
 
+// AnnouncedDepartures returns the listed upstreams that leave although their last reports do not
+// say so: only announcements tell of them. The caller must not modify the slice.
+func (s *Snapshot) AnnouncedDepartures() []Departure {
+	return s.announced
+}
+
+// AnnouncedDigest returns a digest of AnnouncedDepartures, and false if no upstreams are listed.
+func (s *Snapshot) AnnouncedDigest() (uint64, bool) {
+	return uint64(s.announcedDigest), s.listsAny
+}
+
+// Hash returns a hash that identifies the departure.
+func (d Departure) Hash() hasher.Hash {
+	return hasher.Mix(hasher.Mix(hasher.OfString(string(d.ID)), hasher.Hash(d.Born)), hasher.OfString(d.Address))
+}
+
 // At returns the usable upstreams at an address.
 func (s *Snapshot) At(address string) (list []*Upstream) {
 	for _, u := range s.usable {
