--- a/internal/process/heartbeater/heartbeater.go
+++ b/internal/process/heartbeater/heartbeater.go
@@ -85,6 +85,8 @@
 		// Stronger members come first in the leader order, since a leader's cost
 		// grows with its region.
 		Strength uint32
+		// ConfigVersion is the version of the configuration in force, 0 if there is none.
+		ConfigVersion uint64
 	}
 
 	// Changes holds all changes of one kind of object with revisions above From and
@@ -139,6 +141,8 @@
 		// OnLimitMessage is called with each message about limits and its sender's address.
 		// May be nil.
 		OnLimitMessage func(from string, m limiter.Message)
+		// OnMember is called with the sender of each heartbeat. May be nil.
+		OnMember func(Member)
 		// OnTraffic is called with the size of each datagram sent or received. May be nil.
 		OnTraffic func(Traffic)
 		Clock     timekeeper.Clock
@@ -318,6 +322,9 @@
 	if reply != nil {
 		b.send([]string{to}, &Datagram{Beat: reply})
 	}
+	if b.OnMember != nil {
+		b.OnMember(memberOf(m.From))
+	}
 	if near && m.Leading && b.OnWatermark != nil {
 		for _, r := range m.Marks {
 			b.OnWatermark(r.Kind, joinPosition(r.Revision, r.Era))
--- a/internal/process/heartbeater/wire.go
+++ b/internal/process/heartbeater/wire.go
@@ -75,29 +75,31 @@
 
 func row(m Member, age timekeeper.Millis) *Row {
 	return &Row{
-		Name:        m.Name,
-		Incarnation: m.Incarnation,
-		Site:        string(m.Site),
-		Front:       m.Front,
-		Beats:       m.Beats,
-		Ready:       m.Ready,
-		Leaving:     m.Leaving,
-		Reaching:    m.Reaching,
-		AgeMillis:   uint32(max(age, 0)),
-		Strength:    m.Strength,
+		Name:          m.Name,
+		Incarnation:   m.Incarnation,
+		Site:          string(m.Site),
+		Front:         m.Front,
+		Beats:         m.Beats,
+		Ready:         m.Ready,
+		Leaving:       m.Leaving,
+		Reaching:      m.Reaching,
+		AgeMillis:     uint32(max(age, 0)),
+		Strength:      m.Strength,
+		ConfigVersion: m.ConfigVersion,
 	}
 }
 
 func memberOf(r *Row) Member {
 	return Member{
-		Name:        r.Name,
-		Incarnation: r.Incarnation,
-		Site:        registrar.Site(r.Site),
-		Front:       r.Front,
-		Beats:       r.Beats,
-		Ready:       r.Ready,
-		Leaving:     r.Leaving,
-		Reaching:    r.Reaching,
-		Strength:    r.Strength,
+		Name:          r.Name,
+		Incarnation:   r.Incarnation,
+		Site:          registrar.Site(r.Site),
+		Front:         r.Front,
+		Beats:         r.Beats,
+		Ready:         r.Ready,
+		Leaving:       r.Leaving,
+		Reaching:      r.Reaching,
+		Strength:      r.Strength,
+		ConfigVersion: r.ConfigVersion,
 	}
 }
