--- a/internal/process/leader/era_test.go
+++ b/internal/process/leader/era_test.go
@@ -289,3 +289,30 @@
 	is.NoErr(err)
 	is.Equal(all, []recorder.Change{known, second})
 }
+
+// TestSnapshotThatTheCopyLacksIsWrittenAgain guards against a region that never confirms an era,
+// because its members know their last change from a snapshot only, and against a log that neither
+// has that change nor the snapshot.
+func TestSnapshotThatTheCopyLacksIsWrittenAgain(t *testing.T) {
+	is := is.New(t)
+	ctx := context.Background()
+	address := startStore(t)
+	f := newFixture(t, "i1", address)
+	log := &recorder.Log{Store: f.client, Prefix: "Settings/"}
+	f.leader.Records = log
+	f.lead()
+	control(t, address, "/Copy")
+	is.NoErr(log.SaveSnapshot(ctx, recorder.Snapshot{Number: 200, Body: json.RawMessage("[]")}))
+	f.eventually("the leader knows the snapshot", func() bool {
+		_, ok := f.leader.Replica.Get(log.Prefix + recorder.SnapshotName)
+		return ok
+	})
+	control(t, address, "/Restore")
+	f.eventually("the leader has listed the copy", func() bool { return f.leader.Replica.Revision().Era() == 1 })
+	era := uint64(1)
+	f.leader.HandleHeartbeat(f.self, nil, &framer.Heartbeat{Era: &era, LatestEra: era, Changes: 200})
+	f.eventually("the region confirms the era", func() bool { return f.storedRoster().Era == 1 })
+	s, err := log.LoadSnapshot(ctx)
+	is.NoErr(err)
+	is.Equal(s.Number, recorder.Number(200))
+}
--- a/internal/process/leader/restore.go
+++ b/internal/process/leader/restore.go
@@ -37,6 +37,9 @@
 	defer cancel()
 	changes := l.changesBefore(era)
 	written, err := l.Records.Restore(ctx, era, changes)
+	if err == nil {
+		err = l.restoreSnapshot(ctx, era)
+	}
 	log := l.Log.WithFields(logrus.Fields{"era": era, "known": len(changes), "written": written, "last": l.lastChange()})
 	if err != nil {
 		log.WithError(err).Warn("changes of settings not written again")
@@ -67,34 +70,58 @@
 	return adopted, adopted && l.roster.Era == e
 }
 
+// restoreSnapshot saves the snapshot of the replica again if it is of an era before e.
+func (l *Leader) restoreSnapshot(ctx context.Context, e storer.Era) error {
+	s, at := l.snapshot()
+	if s.Number == 0 || at == e {
+		return nil
+	}
+	return l.Records.SaveSnapshot(ctx, s)
+}
+
 // changesBefore returns the changes of the replica that the store may lack in an era: those that
 // were read in earlier ones, after the snapshot that the store has.
 func (l *Leader) changesBefore(e storer.Era) []recorder.Change {
-	var snapshot recorder.Snapshot
-	if o, ok := l.Replica.Get(l.Records.Prefix + recorder.SnapshotName); ok && o.Revision.Era() == e {
-		snapshot, _ = recorder.DecodeSnapshot(o)
+	s, at := l.snapshot()
+	if at != e {
+		s = recorder.Snapshot{}
 	}
 	var out []recorder.Change
 	for _, o := range l.Replica.WithPrefix(l.Records.ChangePrefix()) {
 		c, err := l.Records.Decode(o)
-		if err == nil && c.Number > snapshot.Number && o.Revision.Era() < e {
+		if err == nil && c.Number > s.Number && o.Revision.Era() < e {
 			out = append(out, c)
 		}
 	}
 	return out
 }
 
-// lastChange returns the number of the last change of settings in the replica.
+// snapshot returns the snapshot of the replica and its era, the zero snapshot if there is none.
+func (l *Leader) snapshot() (recorder.Snapshot, storer.Era) {
+	o, ok := l.Replica.Get(l.Records.Prefix + recorder.SnapshotName)
+	if !ok {
+		return recorder.Snapshot{}, 0
+	}
+	s, err := recorder.DecodeSnapshot(o)
+	if err != nil {
+		return recorder.Snapshot{}, 0
+	}
+	return s, o.Revision.Era()
+}
+
+// lastChange returns the number of the last change of settings that the replica holds, as a change
+// or in the snapshot.
 func (l *Leader) lastChange() recorder.Number {
 	if l.Records == nil {
 		return 0
 	}
+	s, _ := l.snapshot()
 	all := l.Replica.WithPrefix(l.Records.ChangePrefix())
 	if len(all) == 0 {
-		return 0
+		return s.Number
 	}
 	n, _ := l.Records.NumberOf(all[len(all)-1].Name)
-	return n
+	return max(n, s.Number)
 }
 
 // fetchChanges asks a member for the objects that it knows, if it reports a change of settings that
