applier: counts changes that differ from those applied under their numbers

What operators see: a daemon that alone knew an accepted change, and stood still for longer than its region waits after the store's return, runs other settings than the log holds, with nothing that tells of it. settings_diverged and a log line name it now.

--- a/internal/process/runner/assemble.go
+++ b/internal/process/runner/assemble.go
@@ -63,7 +63,11 @@
 		if err != nil {
 			return err
 		}
+		before := d.applier.Diverged()
 		d.applier.Add(c)
+		if d.applier.Diverged() > before {
+			d.log.WithFields(logrus.Fields{"change": c.Number, "who": c.Who}).Error("the log holds another change than was applied: restart this daemon")
+		}
 	}
 	return nil
 }
--- a/internal/process/runner/gauges.go
+++ b/internal/process/runner/gauges.go
@@ -28,6 +28,7 @@
 		"settings_number":   float64(s.Number),
 		"plan_number":       float64(s.Plan.Number),
 		"settings_rejected": float64(d.applier.Rejected()),
+		"settings_diverged": float64(d.applier.Diverged()),
 		"in_flight":         float64(d.forwarder.InFlight()),
 		"invariants_broken": float64(d.leader.FenceRegressions()),
 		"member_valid":      boolGauge(d.joiner.Valid()),
--- a/internal/version/applier/applier.go
+++ b/internal/version/applier/applier.go
@@ -20,6 +20,8 @@
 		waiting  map[recorder.Number]recorder.Change
 		history  []recorder.Change
 		rejected uint64
+		// diverged holds the numbers of changes that differ from those applied.
+		diverged map[recorder.Number]bool
 	}
 
 	// Content is the body of a change of settings.
@@ -71,6 +73,7 @@
 	defer a.lock.Unlock()
 	before := a.number
 	if c.Number <= a.number {
+		a.checkApplied(c)
 		return false
 	}
 	if a.waiting == nil {
@@ -81,6 +84,28 @@
 	return a.number > before
 }
 
+// checkApplied compares a change with the one that was applied under its number, as far back as
+// changes are kept.
+func (a *Applier) checkApplied(c recorder.Change) {
+	for _, x := range a.history {
+		if x.Number != c.Number || x.ID == c.ID {
+			continue
+		}
+		if a.diverged == nil {
+			a.diverged = map[recorder.Number]bool{}
+		}
+		a.diverged[c.Number] = true
+	}
+}
+
+// Diverged returns how many changes differ from those that were applied under their numbers: an
+// accepted change was lost with the store's older copy, and its number was given again.
+func (a *Applier) Diverged() int {
+	a.lock.Lock()
+	defer a.lock.Unlock()
+	return len(a.diverged)
+}
+
 func (a *Applier) applyWaiting() {
 	for n := range a.waiting {
 		if n <= a.number {
