linker: closing an encrypted link waits for a stalled remote end no longer than closeTimeout

A planned stop, and every other close of a session, first closes the connection for writing. Over TLS that waits for the write that is pending, and then up to 5 s for its own record. A remote end that is stalled takes neither, and the timer of closeTimeout was started only afterwards. So the stop of a daemon with one stalled peer waited without a bound while a write was pending, and the goroutines and the connection of a dropped peer stayed as long as it was stalled.

The close for writing now runs beside the timer. When the timer ends, Close closes the connection below TLS first: the Close of TLS would wait for the same lock. What TLS would still have sent then is its notice of the close, which is pending anyway. Over plain TCP nothing changes: its CloseWrite does not wait.

--- a/internal/connection/linker/conn.go
+++ b/internal/connection/linker/conn.go
@@ -97,11 +97,15 @@
 }
 
 // Close closes the connection. yamux calls it as soon as a write fails: if the remote end has closed
-// the connection, what it sent before is read first.
+// the connection, what it sent before is read first. Once finish was called, it
+// does not wait for a pending write, as the Close of TLS does.
 func (w *linkConn) Close() error {
 	if w.refused.Load() {
 		w.awaitReadEnd()
 	}
+	if c, ok := w.Conn.(interface{ NetConn() net.Conn }); ok && w.finishing.Load() {
+		_ = c.NetConn().Close()
+	}
 	return w.Conn.Close()
 }
 
@@ -110,11 +114,12 @@
 // the remote end has not received by then is lost.
 func (w *linkConn) finish(ended <-chan struct{}) {
 	c, ok := w.Conn.(interface{ CloseWrite() error })
-	if !ok || w.refused.Load() || w.finishing.Swap(true) || c.CloseWrite() != nil {
+	if !ok || w.refused.Load() || w.finishing.Swap(true) {
 		return
 	}
 	t := time.NewTimer(closeTimeout.Duration())
 	defer t.Stop()
+	go w.runCloseWrite(c.CloseWrite)
 	select {
 	case <-ended:
 	case <-w.readEnded:
@@ -122,6 +127,12 @@
 	}
 }
 
+// runCloseWrite closes the connection for writing. Over TLS that waits for a pending write. An error
+// means that the connection ended, which ends its reads.
+func (w *linkConn) runCloseWrite(closeWrite func() error) {
+	_ = closeWrite()
+}
+
 // awaitReadEnd waits until everything that the remote end sent was read.
 func (w *linkConn) awaitReadEnd() {
 	t := time.NewTimer(closeTimeout.Duration())
