linker: pending calls do not poll while a link to a stalled remote end closes

Closing a session closes its connection for writing. If a write is pending since the remote end reads nothing, the kernel ends that write with EPIPE, which was taken for a refusal by the remote end. yamux then ended the session, and the Close of the connection waited up to closeTimeout for reads that a stalled remote end never ends. A read of a yamux stream does not block once its session has ended, but polls until the streams are closed too, and that comes after the Close. So each call that waited for its answer used a processor for half a second, on a VM with other callers to serve, just when one daemon is stalled.

A write that fails once the session is being closed now waits for the end of reads before it returns its error, as writes that begin then do already. The session ends after that, and nothing waits in between. A refusal by the remote end is handled as before: reads do not block after it.

--- a/internal/connection/linker/close_test.go
+++ b/internal/connection/linker/close_test.go
@@ -3,8 +3,11 @@
 import (
 	"context"
 	"crypto/tls"
+	"errors"
 	"net"
+	"os"
 	"sync"
+	"syscall"
 	"testing"
 	"time"
 
@@ -31,6 +34,9 @@
 		blocked chan struct{}
 	}
 
+	// halfClosableConn is a stallableConn that can be closed for writing like one over TCP.
+	halfClosableConn struct{ stallableConn }
+
 	// stallableLink is a link whose accepting end may stop reading.
 	stallableLink struct {
 		from, to *linker.Manager
@@ -67,6 +73,18 @@
 	return c.Conn.Write(p)
 }
 
+func (c halfClosableConn) Write(p []byte) (int, error) {
+	n, err := c.stallableConn.Write(p)
+	if errors.Is(err, os.ErrDeadlineExceeded) {
+		err = syscall.EPIPE
+	}
+	return n, err
+}
+
+func (c halfClosableConn) CloseWrite() error {
+	return c.SetWriteDeadline(time.Unix(1, 0))
+}
+
 func (l chanListener) Accept() (net.Conn, error) {
 	c, ok := <-l
 	if !ok {
@@ -200,3 +218,33 @@
 	o.stall()
 	is.New(t).True(o.closes())
 }
+
+// TestClosingStalledLinkUsesNoProcessor guards against pending calls that poll while the link waits
+// for a stalled remote end.
+func TestClosingStalledLinkUsesNoProcessor(t *testing.T) {
+	is := is.New(t)
+	const pending = 2
+	o := connectStallable(t, func(c stallableConn) net.Conn { return halfClosableConn{c} }, func(c net.Conn) net.Conn { return c })
+	for range pending {
+		go o.peer.Run(context.Background(), call(), false)
+	}
+	for o.to.Counters().Received.Load() < pending {
+		time.Sleep(time.Millisecond)
+	}
+	o.blockWrite()
+	before := processorTime(t)
+	is.True(o.closes())
+	used := processorTime(t) - before
+	t.Logf("used %v", used)
+	is.True(used < 250*time.Millisecond)
+}
+
+// processorTime returns the processor time that this process has used.
+func processorTime(t *testing.T) time.Duration {
+	t.Helper()
+	var u syscall.Rusage
+	if err := syscall.Getrusage(syscall.RUSAGE_SELF, &u); err != nil {
+		t.Fatal(err)
+	}
+	return time.Duration(u.Utime.Nano() + u.Stime.Nano())
+}
--- a/internal/connection/linker/conn.go
+++ b/internal/connection/linker/conn.go
@@ -90,14 +90,19 @@
 	}
 	n, err := w.Conn.Write(p)
 	w.counters.WireOut.Add(uint64(n))
-	if errors.Is(err, syscall.EPIPE) || errors.Is(err, syscall.ECONNRESET) {
+	switch {
+	case err != nil && w.finishing.Load():
+		// yamux ends the session as soon as a write fails, and pending reads of its streams
+		// poll from then on until the connection is closed.
+		w.awaitReadEnd()
+	case errors.Is(err, syscall.EPIPE), errors.Is(err, syscall.ECONNRESET):
 		w.refused.Store(true)
 	}
 	return n, err
 }
 
 // Close closes the connection. yamux calls it as soon as a write fails: if the remote end has closed
-// the connection, what it sent before is read first. Once finish was called, it
+// the connection, what it sent before is read first, and no read blocks. Once finish was called, it
 // does not wait for a pending write, as the Close of TLS does.
 func (w *linkConn) Close() error {
 	if w.refused.Load() {
