pooler: a request of which nothing was written did not run

A request was taken for sent once its head was in the buffer of the connection. If the upstream had reset the kept connection just before, the write failed with no byte written, and the caller of a request with a body got "unknown" for one that had not run, and that no one may send again. The transport of net/http retries such a request itself only if it has no body.

How often upstreams reset a connection at that moment was not measured.

The connection now reports when bytes of a request are about to be written, and takes it back if none were and none were before, over this connection or an earlier one. A round trip returns only after the connection has stopped writing, so its result does not race with that. A refused dial still takes the upstream out of use; a connection that was reset does so only if another dial is refused. The forwarder does not repeat a request whose streamed body has begun, whatever its outcome.

--- a/internal/connection/pooler/refusal.go
+++ b/internal/connection/pooler/refusal.go
@@ -16,6 +16,9 @@
 	net.Conn
 	// written reports whether a part of the current request was written.
 	written atomic.Bool
+	// sent is set once a part of the current request may have been written, to this
+	// connection or an earlier one.
+	sent atomic.Pointer[atomic.Bool]
 }
 
 // dialRefusable opens a connection that tolerates refused writes.
@@ -27,19 +30,30 @@
 	return &refusableConn{Conn: c}, nil
 }
 
-// beginRequest is called with the connection that was chosen for a request.
-func beginRequest(i httptrace.GotConnInfo) {
-	if c, ok := i.Conn.(*refusableConn); ok {
-		c.written.Store(false)
+// beginRequest is called with each connection that was chosen for the request.
+func (a *attempt) beginRequest(i httptrace.GotConnInfo) {
+	a.connected.Store(true)
+	c, ok := i.Conn.(*refusableConn)
+	if !ok {
+		a.sent.Store(true)
+		return
 	}
+	c.written.Store(false)
+	c.sent.Store(&a.sent)
 }
 
 // Write implements net.Conn. If nothing of the request was written, it returns the error, since the
 // transport then knows that the request did not run.
 func (c *refusableConn) Write(b []byte) (int, error) {
+	// The request may be abandoned during the write.
+	sent := c.sent.Load()
+	before := sent.Swap(true)
 	n, err := c.Conn.Write(b)
-	if n > 0 {
+	switch {
+	case n > 0:
 		c.written.Store(true)
+	case !before:
+		sent.Store(false)
 	}
 	if c.written.Load() && (errors.Is(err, syscall.EPIPE) || errors.Is(err, syscall.ECONNRESET)) {
 		return len(b), nil
--- a/internal/connection/pooler/send.go
+++ b/internal/connection/pooler/send.go
@@ -22,11 +22,14 @@
 type (
 	// attempt is one attempt to send a request to one upstream.
 	attempt struct {
-		pool    *Pool
-		dest    *upstream
-		call    *exchanger.Call
-		sent    atomic.Bool
-		started timekeeper.Millis
+		pool *Pool
+		dest *upstream
+		call *exchanger.Call
+		// connected reports whether a connection was chosen, and sent whether a part of
+		// the request may have been written. Without that it did not run.
+		connected atomic.Bool
+		sent      atomic.Bool
+		started   timekeeper.Millis
 		// cancelDial cancels the dial that was started for the request, if any.
 		cancelDial context.CancelFunc
 		// status is the status code of the response, 0 if there is none.
@@ -111,12 +114,7 @@
 }
 
 func (a *attempt) request(ctx context.Context) (*http.Request, error) {
-	t := &httptrace.ClientTrace{
-		GotConn: beginRequest,
-		// The head of a request is flushed only after this call, so a request
-		// that fails before it did not run.
-		WroteHeaders: func() { a.sent.Store(true) },
-	}
+	t := &httptrace.ClientTrace{GotConn: a.beginRequest}
 	c := a.call
 	target, err := url.ParseRequestURI(c.Target)
 	if err != nil {
@@ -173,13 +171,17 @@
 		a.cancelDial()
 		return a.interruptedResult()
 	}
-	if !a.sent.Load() {
+	if a.sent.Load() {
+		return exchanger.Lost(a.classifyLoss(ctx), a.dest.address)
+	}
+	if a.connected.Load() {
+		a.classifyLoss(ctx)
+	} else {
 		a.pool.markDown(a.dest)
-		r := exchanger.Refused(exchanger.ReasonUpstreamUnreachable, 0)
-		r.Upstream = a.dest.address
-		return r
 	}
-	return exchanger.Lost(a.classifyLoss(ctx), a.dest.address)
+	r := exchanger.Refused(exchanger.ReasonUpstreamUnreachable, 0)
+	r.Upstream = a.dest.address
+	return r
 }
 
 // classifyLoss returns the reason for a lost connection. Upstreams also reset
