--- a/internal/connection/linker/conn.go
+++ b/internal/connection/linker/conn.go
@@ -90,18 +90,27 @@
 	}
 	n, err := w.Conn.Write(p)
 	w.counters.WireOut.Add(uint64(n))
-	if errors.Is(err, syscall.EPIPE) || errors.Is(err, syscall.ECONNRESET) {
+	switch {
+	case err != nil && w.finishing.Load():
+		// yamux ends the session as soon as a write fails, and pending reads of its streams
+		// poll from then on until the connection is closed.
+		w.awaitReadEnd()
+	case errors.Is(err, syscall.EPIPE), errors.Is(err, syscall.ECONNRESET):
 		w.refused.Store(true)
 	}
 	return n, err
 }
 
 // Close closes the connection. yamux calls it as soon as a write fails: if the remote end has closed
-// the connection, what it sent before is read first.
+// the connection, what it sent before is read first, and no read blocks. Once finish was called, it
+// does not wait for a pending write, as the Close of TLS does.
 func (w *linkConn) Close() error {
 	if w.refused.Load() {
 		w.awaitReadEnd()
 	}
+	if c, ok := w.Conn.(interface{ NetConn() net.Conn }); ok && w.finishing.Load() {
+		_ = c.NetConn().Close()
+	}
 	return w.Conn.Close()
 }
 
@@ -110,11 +119,12 @@
 // the remote end has not received by then is lost.
 func (w *linkConn) finish(ended <-chan struct{}) {
 	c, ok := w.Conn.(interface{ CloseWrite() error })
-	if !ok || w.refused.Load() || w.finishing.Swap(true) || c.CloseWrite() != nil {
+	if !ok || w.refused.Load() || w.finishing.Swap(true) {
 		return
 	}
 	t := time.NewTimer(closeTimeout.Duration())
 	defer t.Stop()
+	go w.runCloseWrite(c.CloseWrite)
 	select {
 	case <-ended:
 	case <-w.readEnded:
@@ -122,6 +132,12 @@
 	}
 }
 
+// runCloseWrite closes the connection for writing. Over TLS that waits for a pending write. An error
+// means that the connection ended, which ends its reads.
+func (w *linkConn) runCloseWrite(closeWrite func() error) {
+	_ = closeWrite()
+}
+
 // awaitReadEnd waits until everything that the remote end sent was read.
 func (w *linkConn) awaitReadEnd() {
 	t := time.NewTimer(closeTimeout.Duration())
