sender: a request is sent again if a kept connection is refused before its first byte

If an upstream had reset a kept connection just before a request was written, the write failed with no byte written, and the request counted as lost: one that must not run twice was not sent anywhere else, and its caller got "unknown" for a request that no upstream had seen. Since the response of an upstream that refuses the rest of a request is read, such a connection was even read for one.

How often upstreams reset a connection at that moment was not measured: an idle connection is checked before it is used, so only what arrives between the check and the write is left.

The request now goes over the next connection, after its Check was asked again, so that one that was withdrawn meanwhile stays where it is. Nothing of its body was read, since a streamed body begins only after the head. A new connection that is refused in this way counts as not sent, like a refused dial, so it is not repeated without end.

--- a/internal/connection/sender/send.go
+++ b/internal/connection/sender/send.go
@@ -27,7 +27,7 @@
 // Errors of a request without a response, for use with errors.Is.
 var (
 	// ErrNotSent means that no byte of the request was sent, since no connection could
-	// be opened.
+	// be opened or a new one was refused.
 	ErrNotSent = eris.New("request not sent")
 	// ErrWithdrawn means that no byte of the request was sent, since Check returned
 	// false.
@@ -103,8 +103,24 @@
 	}
 )
 
-// Do sends a request and waits for the head of its response.
+// Do sends a request and waits for the head of its response. If a reused connection is refused
+// before the first byte, it sends the request over another one.
 func (p *Pool) Do(ctx context.Context, q *Request) (*Response, error) {
+	for {
+		r, err := p.do(ctx, q)
+		if r == nil || err == nil {
+			return r, err
+		}
+		r.Close()
+		if !r.Reused || ctx.Err() != nil || !errors.Is(err, ErrNotSent) {
+			return nil, err
+		}
+	}
+}
+
+// do sends a request over one connection. If that fails after it was chosen, it returns both a
+// Response and an error.
+func (p *Pool) do(ctx context.Context, q *Request) (*Response, error) {
 	c, err := p.connect(ctx, q)
 	if err != nil {
 		return nil, eris.Wrapf(ErrNotSent, "%s: %v", p.Address, err)
@@ -116,11 +132,7 @@
 	_ = c.SetDeadline(q.ConnDeadline)
 	r := &Response{pool: p, conn: c, bytesBefore: c.bytes.Load(), Reused: c.reused}
 	r.stopAbort = context.AfterFunc(ctx, c.abort)
-	if err := r.exchange(q); err != nil {
-		r.Close()
-		return nil, err
-	}
-	return r, nil
+	return r, r.exchange(q)
 }
 
 func (p *Pool) connect(ctx context.Context, q *Request) (*conn, error) {
@@ -134,6 +146,9 @@
 	if writeErr != nil && !r.conn.refusesWrites() {
 		return classifyError(writeErr)
 	}
+	if writeErr != nil && r.Bytes() == 0 {
+		return eris.Wrapf(ErrNotSent, "%v", writeErr)
+	}
 	// An upstream that closes the connection before it has read the whole request may have
 	// responded.
 	err := r.receive(q)
