platform: a daemon that starts keeps what members know beyond the store's copy

A daemon that started after the store had returned from an older copy sent requests to servers that all others knew to be removed and to evacuated domains, none to domains that had been readmitted, and refused requests for services whose servers had all registered after the copy. Independently of a return, it sent requests to servers that had announced by a response that they leave while the store still called them ready.

What members keep against a copy of the store (evacuations and upstreams that it lacks) and withhold (evacuations that had been lifted, upstreams that had been removed), and the departures, was known by those that ran then only.

A starting daemon applies it before its first lists, which then meet the same rules as those of a daemon that ran all the while.

--- a/internal/version/cataloger/departure.go
+++ b/internal/version/cataloger/departure.go
@@ -46,6 +46,13 @@
 	return added
 }
 
+// Departures returns the upstreams that are known to leave, including some that were removed.
+func (c *Catalog) Departures() []Departure {
+	c.lock.Lock()
+	defer c.lock.Unlock()
+	return slices.Collect(maps.Keys(c.departures))
+}
+
 // knowsLeaving reports whether all upstreams of a list are known to leave.
 func (c *Catalog) knowsLeaving(list []Departure) bool {
 	c.lock.Lock()
