framer: nothing is written after a frame whose write failed

A write on a link may fail with a part of a frame sent, while the link lives on: the queue of a session whose connection takes no bytes for 4 s is full, and the rest of a chunk that waited for the window of its stream is never queued. The daemon that serves the request then wrote the End frame, and the entry read its first bytes as the rest of the chunk and passed them to the caller as a part of the body. If that was the last chunk, the caller would have the length that the head announced.

The Writer now keeps the error of its sink and writes nothing more. The stream then ends within a frame, which its reader takes for an incomplete answer. Control streams are closed after a failed write already.

--- a/internal/connection/framer/frame.go
+++ b/internal/connection/framer/frame.go
@@ -68,11 +68,14 @@
 		header [headerBytes]byte
 	}
 
-	// Writer writes each frame with a single Write call. It is safe for concurrent use.
+	// Writer writes each frame with a single Write call. After an error of the sink it writes
+	// nothing more, since what follows a partial frame would be read as the rest of it. It is
+	// safe for concurrent use.
 	Writer struct {
 		lock   sync.Mutex
 		sink   io.Writer
 		buffer []byte
+		failed error
 	}
 )
 
@@ -134,7 +137,10 @@
 // writeFrame fills in the header at the start of b and writes the frame.
 func (w *Writer) writeFrame(k Kind, b []byte) error {
 	n := len(b) - headerBytes
-	if n > MaxFrameBytes {
+	switch {
+	case w.failed != nil:
+		return w.failed
+	case n > MaxFrameBytes:
 		return ErrTooLong
 	}
 	b[0] = byte(k)
@@ -142,8 +148,8 @@
 	if cap(b) <= 2*ChunkBytes {
 		w.buffer = b
 	}
-	_, err := w.sink.Write(b)
-	return err
+	_, w.failed = w.sink.Write(b)
+	return w.failed
 }
 
 func unexpectedEOF(err error) error {
