prober: a VM tells that it reaches no upstream

Neither log nor metrics told an upstream that ended from a VM that is cut off from all of them: both are `upstream not reached` of single requests.

A prober gathers failed dials and unacknowledged data. No request is handled differently.

Ruled out: to conclude from requests alone. A VM that refuses at once makes no further dials, and a single dead upstream would look like a cut.

--- a/internal/process/fronter/fronter.go
+++ b/internal/process/fronter/fronter.go
@@ -12,6 +12,7 @@
 	"golang.org/x/time/rate"
 
 	"github.com/gullvale/gullvale/internal/connection/pipeliner"
+	"github.com/gullvale/gullvale/internal/connection/prober"
 	"github.com/gullvale/gullvale/internal/connection/tracker"
 	"github.com/gullvale/gullvale/internal/process/heartbeater"
 	"github.com/gullvale/gullvale/internal/process/measurer"
@@ -127,6 +128,9 @@
 	Fronter struct {
 		Catalog cataloger.Catalog
 		Meter   *measurer.Meter
+		// Dial opens a connection to an upstream. New sets it to a TCP dial; it may be
+		// replaced before Start.
+		Dial func(ctx context.Context, address string) (net.Conn, error)
 
 		options    Options
 		config     atomic.Pointer[matcher.Config]
@@ -134,6 +138,7 @@
 		stopsAt    atomic.Int64
 		clock      timekeeper.Clock
 		upstreams  *tracker.Set
+		prober     *prober.Prober
 		dispatcher *dispatcher.Dispatcher
 		// shutdowns close the listeners gracefully.
 		shutdowns []func(context.Context) error
@@ -150,15 +155,17 @@
 
 // New returns an entry. Start opens its listeners.
 func New(o Options) *Fronter {
-	f := &Fronter{options: o, Meter: measurer.New(), requestLog: rate.NewLimiter(requestLogRate, requestLogBurst)}
+	f := &Fronter{options: o, Meter: measurer.New(), Dial: dial, requestLog: rate.NewLimiter(requestLogRate, requestLogBurst)}
 	f.startup.startedAt, f.startup.done = f.clock.Now(), make(chan struct{})
-	f.upstreams = &tracker.Set{Dial: dial, Counter: f.byteCounter}
+	f.upstreams = &tracker.Set{Dial: f.dialUpstream, Counter: f.byteCounter}
+	f.prober = f.newProber()
 	f.dispatcher = &dispatcher.Dispatcher{
 		Config:            f.Config,
 		ConfigLag:         o.ConfigLag,
 		KeysUnconfirmed:   o.KeysUnconfirmed,
 		Catalog:           f.Catalog.Current,
 		Upstreams:         f.upstreams,
+		Reach:             f.prober,
 		Fields:            o.Fields,
 		ParseLoad:         o.ParseLoad,
 		HasWarmupRoom:     f.hasWarmupRoom,
@@ -248,6 +255,7 @@
 		cancel()
 		return err
 	}
+	go f.prober.Run(ctx)
 	go f.loopSweep(ctx)
 	go f.loopMembers(ctx)
 	go f.loopForget(ctx)
--- a/internal/request/dispatcher/dispatcher.go
+++ b/internal/request/dispatcher/dispatcher.go
@@ -5,6 +5,7 @@
 	"net/http"
 	"sync/atomic"
 
+	"github.com/gullvale/gullvale/internal/connection/prober"
 	"github.com/gullvale/gullvale/internal/connection/tracker"
 	"github.com/gullvale/gullvale/internal/process/measurer"
 	"github.com/gullvale/gullvale/internal/process/switcher"
@@ -61,7 +62,9 @@
 		KeysUnconfirmed func() bool
 		Catalog         func() *cataloger.Snapshot
 		Upstreams       *tracker.Set
-		Fields          Fields
+		// Reach tracks whether this VM reaches upstreams. Nil means that it always does.
+		Reach  *prober.Prober
+		Fields Fields
 		// ParseLoad reads the value of Fields.Load.
 		ParseLoad func(string) (tracker.Report, bool)
 		// HasWarmupRoom reports whether a cold upstream has room for a request.
--- a/internal/request/dispatcher/send.go
+++ b/internal/request/dispatcher/send.go
@@ -9,6 +9,7 @@
 	"github.com/gullvale/gullvale/internal/connection/sender"
 	"github.com/gullvale/gullvale/internal/connection/tracker"
 	"github.com/gullvale/gullvale/internal/version/cataloger"
+	"github.com/gullvale/gullvale/pkg/timekeeper"
 )
 
 // retryRefusal returns why the request must not be retried, or "" if it may be.
@@ -39,7 +40,9 @@
 	t := x.d.Upstreams.StateOf(u)
 	t.Begin()
 	defer t.End()
+	began := x.d.Clock.Now()
 	resp, err := t.Pool.Do(x.r.Context(), x.newRequest(u, t))
+	x.recordReach(u, began, err)
 	switch {
 	case errors.Is(err, sender.ErrWithdrawn):
 		return false
@@ -57,6 +60,18 @@
 	return x.handleResponse(u, t, resp)
 }
 
+// recordReach tells the prober what an attempt that began at a time shows of this VM's access to
+// upstreams. Dials are reported where they are made.
+func (x *exchange) recordReach(u *cataloger.Upstream, began timekeeper.Millis, err error) {
+	switch {
+	case x.d.Reach == nil:
+	case err == nil:
+		x.d.Reach.RecordResponse(u.Address, began)
+	case errors.Is(err, sender.ErrUnacknowledged):
+		x.d.Reach.RecordUnreached(u.Address)
+	}
+}
+
 // handleNotSent records that the request did not reach its upstream.
 func (x *exchange) handleNotSent(u *cataloger.Upstream, t *tracker.Upstream) {
 	x.unreached = append(x.unreached, u.Incarnation())
--- a/internal/version/cataloger/catalog.go
+++ b/internal/version/cataloger/catalog.go
@@ -2,6 +2,7 @@
 
 import (
 	"maps"
+	"slices"
 	"sync"
 	"sync/atomic"
 
@@ -133,6 +134,11 @@
 	return nil
 }
 
+// AllUsable returns the upstreams that accept new requests.
+func (s *Snapshot) AllUsable() []*Upstream {
+	return slices.Collect(maps.Values(s.usable))
+}
+
 // Batch publishes all changes that f makes in a single snapshot. Building a snapshot
 // takes time proportional to the number of upstreams, and hundreds of changes may arrive
 // at once.
