dispatcher: requests are handed over to VMs that reach upstreams

Cause: each VM sends straight and only straight, and takes what it cannot reach for dead.

A response without one may have run. It never hands on. What fails on one way says nothing of the other, so tracker keeps two paths. Members announce by heartbeat that they are cut.

Ruled out: leaving the VM out of the directory alone (callers keep answers for seconds, and some requests come anyway); handing whole requests over (two places would count attempts, tokens and budgets).

--- a/internal/connection/prober/prober.go
+++ b/internal/connection/prober/prober.go
@@ -79,6 +79,12 @@
 	return p.cut
 }
 
+// Suspicious reports whether a failure was seen since an upstream was reached, so that this VM may
+// be cut off.
+func (p *Prober) Suspicious() bool {
+	return p.isSuspicious()
+}
+
 // Suspect starts probing, for example since a dial takes long.
 func (p *Prober) Suspect() {
 	p.lock.Lock()
--- a/internal/connection/sender/pool.go
+++ b/internal/connection/sender/pool.go
@@ -6,9 +6,14 @@
 	"sync"
 	"sync/atomic"
 
+	"github.com/rotisserie/eris"
+
 	"github.com/gullvale/gullvale/pkg/timekeeper"
 )
 
+// errNoneOpen is the error of a request that may not dial if no connection is open.
+var errNoneOpen = eris.New("no open connection")
+
 type (
 	// Counter is called with the number of bytes sent to an upstream and received from it,
 	// including heads.
@@ -64,16 +69,19 @@
 	closeAll(stale)
 }
 
-// get returns an idle connection that is still usable, or a new one. If maxIdle is
-// set, a connection that was idle for that long is not reused.
-func (p *Pool) get(ctx context.Context, maxIdle timekeeper.Millis) (*conn, error) {
+// get returns an idle connection that is still usable, or a new one if q allows that. If
+// q.MaxIdle is set, a connection that was idle for that long is not reused.
+func (p *Pool) get(ctx context.Context, q *Request) (*conn, error) {
 	for {
 		c := p.pop()
+		if c == nil && q.NoDial {
+			return nil, errNoneOpen
+		}
 		if c == nil {
 			return p.dial(ctx)
 		}
 		now := p.Clock.Now()
-		tooOld := maxIdle > 0 && now-c.idleSince >= maxIdle
+		tooOld := q.MaxIdle > 0 && now-c.idleSince >= q.MaxIdle
 		if !tooOld && c.withinKeepAlive(now) && c.stillIdle() {
 			c.reused = true
 			return c, nil
--- a/internal/connection/sender/send.go
+++ b/internal/connection/sender/send.go
@@ -67,6 +67,8 @@
 		ConnDeadline time.Time
 		// DialTimeout bounds the dial.
 		DialTimeout timekeeper.Millis
+		// NoDial means that only connections that are open already may be used.
+		NoDial bool
 		// MaxIdle, if set, bounds how long a reused connection may have been idle.
 		MaxIdle timekeeper.Millis
 		// Check, if not nil, reports right before sending whether the request may
@@ -138,7 +140,7 @@
 func (p *Pool) connect(ctx context.Context, q *Request) (*conn, error) {
 	ctx, cancel := context.WithTimeout(ctx, q.DialTimeout.Duration())
 	defer cancel()
-	return p.get(ctx, q.MaxIdle)
+	return p.get(ctx, q)
 }
 
 func (r *Response) exchange(q *Request) error {
--- a/internal/connection/tracker/announcement_test.go
+++ b/internal/connection/tracker/announcement_test.go
@@ -26,15 +26,15 @@
 	is.True(a.RecordPause(3000))
 	is.True(!a.RecordPause(1000))
 	is.True(!a.RecordPause(0))
-	a.RecordResponse(false)
+	a.Direct.RecordResponse(false)
 	is.Equal(a.PauseLeft(), timekeeper.Millis(3000))
-	is.True(a.State(u).Paused)
+	is.True(a.State(u, &a.Direct).Paused)
 	*now += 2999
-	is.True(a.State(u).Paused)
+	is.True(a.State(u, &a.Direct).Paused)
 	is.True(a.RecordPause(500)) // reaches further
 	is.Equal(a.PauseLeft(), timekeeper.Millis(500))
 	*now += 500
-	is.True(!a.State(u).Paused)
+	is.True(!a.State(u, &a.Direct).Paused)
 }
 
 // TestPauseOutlastsTheEntry guards against requests within a pause after the upstream's entry was
--- a/internal/connection/tracker/set.go
+++ b/internal/connection/tracker/set.go
@@ -29,8 +29,10 @@
 		return v.(*Upstream)
 	}
 	v, _ := s.upstreams.LoadOrStore(i, &Upstream{
-		clock: s.Clock,
-		Pool:  &sender.Pool{Address: u.Address, Dial: s.Dial, Clock: s.Clock, Count: s.counter(u)},
+		clock:   s.Clock,
+		Pool:    &sender.Pool{Address: u.Address, Dial: s.Dial, Clock: s.Clock, Count: s.counter(u)},
+		Direct:  Path{clock: s.Clock},
+		Relayed: Path{clock: s.Clock},
 	})
 	return v.(*Upstream)
 }
@@ -42,6 +44,14 @@
 	return s.Counter(u)
 }
 
+// ResetDirect drops what was observed of the upstreams over connections of this VM.
+func (s *Set) ResetDirect() {
+	s.upstreams.Range(func(_, v any) bool {
+		v.(*Upstream).Direct.Reset()
+		return true
+	})
+}
+
 // Sweep closes connections whose keep-alive time is over, and removes the
 // upstreams for which keep returns false. A paused one is kept until its pause ends, since its
 // entry may return before that.
--- a/internal/connection/tracker/upstream.go
+++ b/internal/connection/tracker/upstream.go
@@ -42,6 +42,8 @@
 	// Upstream is the state of one incarnation. It is created by Set.StateOf.
 	Upstream struct {
 		Pool *sender.Pool
+		// Direct is the way over connections of this VM, Relayed the one over other VMs.
+		Direct, Relayed Path
 
 		clock    timekeeper.Clock
 		lock     sync.Mutex
@@ -50,15 +52,7 @@
 		report     Report
 		reportedAt timekeeper.Millis
 
-		replaced  bool
-		downUntil timekeeper.Millis
-		backOff   timekeeper.Millis
-
-		// failureShare is the moving average of requests that failed or were
-		// refused, errorShare that of requests that failed. Both are from 0 to 1.
-		failureShare  float64
-		errorShare    float64
-		excludedUntil timekeeper.Millis
+		replaced bool
 
 		limiter *rate.Limiter
 
@@ -66,10 +60,11 @@
 	}
 )
 
-// State returns the input for the choice of an upstream. catalogued is its entry in the
-// catalog.
-func (u *Upstream) State(catalogued *cataloger.Upstream) placer.State {
+// State returns the input for the choice of an upstream that is sent to over path, which is one of
+// u's. catalogued is its entry in the catalog.
+func (u *Upstream) State(catalogued *cataloger.Upstream, path *Path) placer.State {
 	now := u.clock.Now()
+	p := path.state(now)
 	u.lock.Lock()
 	defer u.lock.Unlock()
 	return placer.State{
@@ -77,12 +72,12 @@
 		Own:      u.inFlight,
 		Reported: u.estimatedLoad(now),
 		Gone:     u.replaced,
-		Down:     now < u.downUntil,
+		Down:     p.down,
 		Paused:   now < u.pausedUntil,
-		Failing:  u.failureShare > failureThreshold && now < u.excludedUntil,
+		Failing:  p.failing,
 
-		FailShare:  u.failureShare,
-		ErrorShare: u.errorShare,
+		FailShare:  p.failShare,
+		ErrorShare: p.errorShare,
 	}
 }
 
@@ -97,15 +92,13 @@
 	return max(load, float64(u.inFlight))
 }
 
-// Begin counts a request that is about to be sent, and excludes a failing upstream
+// Begin counts a request that is about to be sent over path, and excludes a failing upstream
 // from further requests for exclusionPeriod.
-func (u *Upstream) Begin() {
+func (u *Upstream) Begin(path *Path) {
+	path.begin()
 	u.lock.Lock()
 	defer u.lock.Unlock()
 	u.inFlight++
-	if u.failureShare > failureThreshold {
-		u.excludedUntil = u.clock.Now() + exclusionPeriod
-	}
 }
 
 // End counts a request that is no longer in flight.
@@ -123,43 +116,6 @@
 	u.report, u.reportedAt = r, now
 }
 
-// RecordResponse records a response, and whether it was a failure. It ends the back-off.
-func (u *Upstream) RecordResponse(failed bool) {
-	now := u.clock.Now()
-	u.lock.Lock()
-	defer u.lock.Unlock()
-	u.backOff, u.downUntil = 0, 0
-	u.recordOutcome(failed, failed, now)
-}
-
-// RecordRefusal records a response that says that the request did not run. It ends the
-// back-off.
-func (u *Upstream) RecordRefusal() {
-	now := u.clock.Now()
-	u.lock.Lock()
-	defer u.lock.Unlock()
-	u.backOff, u.downUntil = 0, 0
-	u.recordOutcome(true, false, now)
-}
-
-// RecordLoss records that a request was sent and no response came.
-func (u *Upstream) RecordLoss() {
-	now := u.clock.Now()
-	u.lock.Lock()
-	defer u.lock.Unlock()
-	u.recordOutcome(true, true, now)
-}
-
-// RecordDialFailure records a failed dial and starts or doubles the back-off.
-func (u *Upstream) RecordDialFailure() {
-	now := u.clock.Now()
-	u.lock.Lock()
-	defer u.lock.Unlock()
-	u.backOff = min(max(u.backOff*2, initialBackOff), maxBackOff)
-	u.downUntil = now + u.backOff
-	u.recordOutcome(true, true, now)
-}
-
 // MarkReplaced records that another incarnation responds at the address, and reports
 // whether that was not known before.
 func (u *Upstream) MarkReplaced() bool {
@@ -170,24 +126,6 @@
 	return first
 }
 
-// recordOutcome adds an outcome to the moving averages: unsuccessful means that the request
-// failed or was refused, failed that it failed. The caller holds the lock.
-func (u *Upstream) recordOutcome(unsuccessful, failed bool, now timekeeper.Millis) {
-	u.failureShare += (indicator(unsuccessful) - u.failureShare) * failureWeight
-	u.errorShare += (indicator(failed) - u.errorShare) * failureWeight
-	if u.failureShare > failureThreshold {
-		u.excludedUntil = now + exclusionPeriod
-	}
-}
-
-// indicator returns 1 if the event happened, and 0 otherwise.
-func indicator(happened bool) float64 {
-	if happened {
-		return 1
-	}
-	return 0
-}
-
 // WarmupAllows reports whether the rate limit allows one more request while the upstream
 // is cold. It takes no token.
 func (u *Upstream) WarmupAllows(perSecond float64, burst int) bool {
--- a/internal/process/fronter/fronter.go
+++ b/internal/process/fronter/fronter.go
@@ -4,6 +4,7 @@
 	"context"
 	"net"
 	"net/http"
+	"net/netip"
 	"sync/atomic"
 	"time"
 
@@ -21,6 +22,7 @@
 	"github.com/gullvale/gullvale/internal/request/dispatcher"
 	"github.com/gullvale/gullvale/internal/request/limiter"
 	"github.com/gullvale/gullvale/internal/request/quarantiner"
+	"github.com/gullvale/gullvale/internal/request/relayer"
 	"github.com/gullvale/gullvale/internal/version/cataloger"
 	"github.com/gullvale/gullvale/internal/version/matcher"
 	"github.com/gullvale/gullvale/pkg/registrar"
@@ -114,6 +116,17 @@
 		Homes *assigner.Assigner
 		// Quarantine tracks requests that crash their upstreams.
 		Quarantine *quarantiner.Quarantiner
+		// Relay hands requests over to other members while this one reaches no upstream. Nil
+		// disables that.
+		Relay *relayer.Relayer
+		// IsMember reports whether a request from an address was handed over by the living
+		// member that it names.
+		IsMember func(name, address string) bool
+		// OnReach is called when this VM reaches no upstream, and when it does again. It may be
+		// nil.
+		OnReach func()
+		// Strength is the capacity of the VM in requests per second.
+		Strength int
 		// Limits enforces the rate limits of organisations. Nil means no limits.
 		Limits *limiter.Limiter
 		// Without lists the disabled mechanisms.
@@ -166,6 +179,11 @@
 		Catalog:           f.Catalog.Current,
 		Upstreams:         f.upstreams,
 		Reach:             f.prober,
+		Relay:             o.Relay,
+		IsMember:          o.IsMember,
+		Region:            o.Site.Region(),
+		Strength:          o.Strength,
+		OnRelayed:         f.logRelayed,
 		Fields:            o.Fields,
 		ParseLoad:         o.ParseLoad,
 		HasWarmupRoom:     f.hasWarmupRoom,
@@ -420,6 +438,9 @@
 			u, ok := f.Catalog.Known(i.ID)
 			return ok && u.Born == i.Born
 		})
+		if f.options.Relay != nil {
+			f.options.Relay.Sweep()
+		}
 	})
 }
 
@@ -493,6 +514,9 @@
 		"ms": int64(e.Elapsed), "objective": int64(e.Objective), "waited": int64(e.PipelineWait), "sentAfter": int64(e.SentAfter), "load": e.Load, "own": e.Own,
 		"placed": e.Placement.Kind(), "bytes": e.Bytes,
 	}
+	if e.Helper != "" {
+		fields["helper"] = e.Helper
+	}
 	if e.Organisation != "" {
 		fields["organisation"] = e.Organisation
 	}
@@ -511,7 +535,16 @@
 // dial opens a connection that detects a dead peer by keep-alive probes and the TCP user
 // timeout.
 func dial(ctx context.Context, address string) (net.Conn, error) {
-	d := net.Dialer{KeepAliveConfig: KeepAlive(), Control: setUserTimeout}
+	d := net.Dialer{KeepAliveConfig: KeepAlive(), Control: userTimeout(unackedTimeout)}
+	return d.DialContext(ctx, "tcp", address)
+}
+
+// DialMember opens a connection from one member's IP address to another member.
+func DialMember(ctx context.Context, from netip.Addr, address string) (net.Conn, error) {
+	d := net.Dialer{
+		LocalAddr:       net.TCPAddrFromAddrPort(netip.AddrPortFrom(from, 0)),
+		KeepAliveConfig: KeepAlive(), Control: userTimeout(memberTimeout),
+	}
 	return d.DialContext(ctx, "tcp", address)
 }
 
--- a/internal/process/fronter/reach.go
+++ b/internal/process/fronter/reach.go
@@ -4,6 +4,7 @@
 	"context"
 	"errors"
 	"net"
+	"net/http"
 	"os"
 	"syscall"
 	"time"
@@ -12,6 +13,7 @@
 
 	"github.com/gullvale/gullvale/internal/connection/prober"
 	"github.com/gullvale/gullvale/internal/process/measurer"
+	"github.com/gullvale/gullvale/internal/request/dispatcher"
 	"github.com/gullvale/gullvale/internal/version/cataloger"
 	"github.com/gullvale/gullvale/pkg/timekeeper"
 )
@@ -28,18 +30,51 @@
 			// The dial reports its result to the prober.
 			_ = f.upstreams.StateOf(u).Pool.Check(ctx)
 		},
-		Site:     f.options.Site,
-		OnChange: f.handleReach,
+		Site:      f.options.Site,
+		OnChange:  f.handleReach,
+		OnSilence: func() { f.dispatcher.AbandonPending() },
 	}
 }
 
+// ServeRelayed serves a request that another member handed over.
+func (f *Fronter) ServeRelayed(w http.ResponseWriter, r *http.Request) {
+	f.dispatcher.ServeRelayed(w, r)
+}
+
+// ActiveRelayed returns the number of requests of other members in flight.
+func (f *Fronter) ActiveRelayed() int64 {
+	return f.dispatcher.ActiveRelayed()
+}
+
+// logRelayed logs a request that another member handed over.
+func (f *Fronter) logRelayed(r *dispatcher.RelayedRequest) {
+	if !f.mayLog() {
+		return
+	}
+	f.options.Log.WithFields(logrus.Fields{
+		"id": r.ID, "from": r.From, "upstream": r.Upstream.ID, "service": r.Service,
+		"outcome": r.Outcome, "reason": r.Reason, "status": r.Status, "ms": int64(r.Elapsed),
+	}).Info("relayed request")
+}
+
 // Cut reports whether this VM reaches no upstream.
 func (f *Fronter) Cut() bool {
 	return f.prober.Cut()
 }
 
-// handleReach logs that this VM lost its access to upstreams or has it again.
+// handleReach is called when this VM lost its access to upstreams or has it again.
 func (f *Fronter) handleReach(c prober.Change) {
+	f.logReach(c)
+	if !c.Cut {
+		// What failed during the cut tells nothing of the upstreams.
+		f.upstreams.ResetDirect()
+	}
+	if f.options.OnReach != nil {
+		f.options.OnReach()
+	}
+}
+
+func (f *Fronter) logReach(c prober.Change) {
 	if c.Cut {
 		f.Meter.Gauge("upstreams_cut", measurer.Labels{}, 1)
 		f.options.Log.WithFields(logrus.Fields{"after": int64(c.Since), "unreached": c.Unreached}).Warn("no upstream reached")
--- a/internal/process/heartbeater/heartbeater.go
+++ b/internal/process/heartbeater/heartbeater.go
@@ -85,6 +85,10 @@
 		// Stronger members come first in the leader order, since a leader's cost
 		// grows with its region.
 		Strength uint32
+		// Relays reports whether the member accepts requests of members that reach no upstream,
+		// Cut whether it reaches none itself.
+		Relays bool
+		Cut    bool
 		// ConfigVersion is the version of the configuration in force, 0 if there is none.
 		ConfigVersion uint64
 	}
--- a/internal/process/heartbeater/member.go
+++ b/internal/process/heartbeater/member.go
@@ -54,7 +54,12 @@
 			state++
 		}
 	}
-	return hasher.Mix(hasher.OfString(m.Name), state)
+	h := hasher.Mix(hasher.OfString(m.Name), state)
+	if m.Cut {
+		// Versions that do not know of cuts have the same digest of all other members.
+		h = hasher.Mix(h, hasher.OfString("cut"))
+	}
+	return h
 }
 
 // recordRow records that a member was alive at a time and returns it, or nil if it is this
--- a/internal/process/heartbeater/wire.go
+++ b/internal/process/heartbeater/wire.go
@@ -87,6 +87,8 @@
 		AgeMillis:     uint32(max(age, 0)),
 		Strength:      m.Strength,
 		ConfigVersion: m.ConfigVersion,
+		Relays:        m.Relays,
+		Cut:           m.Cut,
 	}
 }
 
@@ -102,5 +104,7 @@
 		Reaching:      r.Reaching,
 		Strength:      r.Strength,
 		ConfigVersion: r.ConfigVersion,
+		Relays:        r.Relays,
+		Cut:           r.Cut,
 	}
 }
--- a/internal/request/assigner/shed_test.go
+++ b/internal/request/assigner/shed_test.go
@@ -46,7 +46,8 @@
 	var states []placer.State
 	for i, u := range list {
 		m := s.upstreams[u]
-		x := s.known.StateOf(u).State(u)
+		t := s.known.StateOf(u)
+		x := t.State(u, &t.Direct)
 		x.Reported = float64(len(m.running) + len(m.queue))
 		if s.leavesHome {
 			x.Attempted = u == refused
@@ -70,10 +71,10 @@
 			return
 		}
 		t := s.known.StateOf(u)
-		t.Begin()
+		t.Begin(&t.Direct)
 		t.End()
 		shed := s.now >= shedFrom && s.now < shedEnd && s.random.Float64() < shedShare
-		t.RecordResponse(shed)
+		t.Direct.RecordResponse(shed)
 		if !shed {
 			m := s.upstreams[u]
 			m.queue = append(m.queue, &job{key: k, arrived: s.now})
--- a/internal/request/dispatcher/announcement.go
+++ b/internal/request/dispatcher/announcement.go
@@ -82,7 +82,7 @@
 		}
 		t := x.d.Upstreams.StateOf(u)
 		left := t.PauseLeft()
-		if s := t.State(u); left == 0 && !s.Gone && !s.Down {
+		if s := t.State(u, x.path(t)); left == 0 && !s.Gone && !s.Down {
 			return 0
 		}
 		if left > 0 && (soonest == 0 || left < soonest) {
--- a/internal/request/dispatcher/answer.go
+++ b/internal/request/dispatcher/answer.go
@@ -11,6 +11,7 @@
 	"github.com/gullvale/gullvale/internal/connection/tracker"
 	"github.com/gullvale/gullvale/internal/request/exchanger"
 	"github.com/gullvale/gullvale/internal/request/forwarder"
+	"github.com/gullvale/gullvale/internal/request/relayer"
 	"github.com/gullvale/gullvale/internal/version/cataloger"
 	"github.com/gullvale/gullvale/pkg/timekeeper"
 )
@@ -34,7 +35,7 @@
 		return false
 	}
 	if resp.Header.Get(x.d.Fields.NotRun) != "" {
-		t.RecordRefusal()
+		x.path(t).RecordRefusal()
 		x.decision.Reason = "refused by upstream"
 		x.refusedBy = x.attempted[len(x.attempted)-1]
 		drainResponse(resp)
@@ -46,7 +47,7 @@
 	}
 	failed := resp.Status >= http.StatusInternalServerError
 	if failed && x.retriesFailure() {
-		t.RecordResponse(true)
+		x.path(t).RecordResponse(true)
 		x.markMayHaveRun()
 		x.decision.Reason = "upstream failed"
 		drainResponse(resp)
@@ -77,7 +78,7 @@
 	if x.r.Context().Err() != nil {
 		return false
 	}
-	t.RecordLoss()
+	x.path(t).RecordLoss()
 	x.decision.Reason = reason
 	x.d.Meter.Count("upstream_lost", x.labels(reason))
 	return false
@@ -93,7 +94,7 @@
 		x.checkLoss(u, t, err, x.retryable())
 		return x.discardResponse(t, "answer broke off")
 	}
-	t.RecordResponse(failed)
+	x.path(t).RecordResponse(failed)
 	x.copyHeader(resp)
 	if whole {
 		x.clearSuspect(resp)
@@ -219,6 +220,7 @@
 	for _, n := range []string{f.NotRun, f.Proof, f.Load, f.Leaving, f.Expected, f.Deadline, f.Credential, f.Organisation} {
 		h.Del(n)
 	}
+	relayer.RemoveFields(h)
 	return h
 }
 
--- a/internal/request/dispatcher/choose.go
+++ b/internal/request/dispatcher/choose.go
@@ -14,12 +14,30 @@
 // can be reached.
 const maxCandidates = 1 + assigner.MaxFormerHomes + 2*placer.MaxCandidates
 
-// chooseUpstream chooses the upstream of the next attempt.
+// chooseUpstream chooses the upstream of the next attempt and the way to it. Requests are handed
+// over while this VM reaches no upstream, and if it reaches none of those that may run the
+// request.
 func (x *exchange) chooseUpstream() (*cataloger.Upstream, placer.Verdict) {
 	x.decision.Placement = assigner.Placement{}
 	if !x.resolve() {
 		return nil, placer.Gone
 	}
+	x.helper, x.sawDown = nil, false
+	if x.d.isCut() {
+		x.helper = x.chooseHelper()
+	}
+	u, verdict := x.chooseOnPath()
+	if u != nil || x.helper != nil || !x.sawDown {
+		return u, verdict
+	}
+	if x.helper = x.chooseHelper(); x.helper == nil {
+		return nil, verdict
+	}
+	return x.chooseOnPath()
+}
+
+// chooseOnPath chooses the upstream of an attempt that goes directly or over the helper.
+func (x *exchange) chooseOnPath() (*cataloger.Upstream, placer.Verdict) {
 	s := x.d.Catalog()
 	x.decision.Catalog = s.Change
 	all := s.ByService(x.service)
@@ -172,8 +190,9 @@
 
 func (x *exchange) state(u *cataloger.Upstream) placer.State {
 	t := x.d.Upstreams.StateOf(u)
-	s := t.State(u)
+	s := t.State(u, x.path(t))
 	x.sawPause = x.sawPause || s.Paused
+	x.sawDown = x.sawDown || s.Down
 	s.Attempted = slices.Contains(x.attempted, u.Incarnation()) && !x.refusedWithCapacity(u, s) || x.failedToDial(u)
 	if !s.Attempted && u.Cold(x.d.Clock.Now()) {
 		s.Cold = x.d.HasWarmupRoom == nil || !x.d.HasWarmupRoom(u, t)
@@ -181,10 +200,10 @@
 	return s
 }
 
-// failedToDial reports whether an attempt at u failed to connect and back-off is switched off.
-// Otherwise the request would dial u until its time is over.
+// failedToDial reports whether an attempt at u failed to connect and there is no back-off.
+// Otherwise the request would try u until its time is over.
 func (x *exchange) failedToDial(u *cataloger.Upstream) bool {
-	return x.d.Without.Has(switcher.BackOff) && slices.Contains(x.unreached, u.Incarnation())
+	return (x.d.Without.Has(switcher.BackOff) || x.onlyKept()) && slices.Contains(x.unreached, u.Incarnation())
 }
 
 // refusedWithCapacity reports whether u, which knows the request's key, refused the request
--- a/internal/request/dispatcher/dispatcher.go
+++ b/internal/request/dispatcher/dispatcher.go
@@ -13,6 +13,7 @@
 	"github.com/gullvale/gullvale/internal/request/limiter"
 	"github.com/gullvale/gullvale/internal/request/placer"
 	"github.com/gullvale/gullvale/internal/request/quarantiner"
+	"github.com/gullvale/gullvale/internal/request/relayer"
 	"github.com/gullvale/gullvale/internal/version/authenticator"
 	"github.com/gullvale/gullvale/internal/version/cataloger"
 	"github.com/gullvale/gullvale/internal/version/matcher"
@@ -63,8 +64,17 @@
 		Catalog         func() *cataloger.Snapshot
 		Upstreams       *tracker.Set
 		// Reach tracks whether this VM reaches upstreams. Nil means that it always does.
-		Reach  *prober.Prober
-		Fields Fields
+		Reach *prober.Prober
+		// Relay hands requests over to members that reach upstreams, while this one does not.
+		// Nil disables it, also for requests of others.
+		Relay *relayer.Relayer
+		// IsMember reports whether a request from an address was handed over by the living
+		// member that it names.
+		IsMember func(name, address string) bool
+		// Region is the region of this VM, Strength its capacity in requests per second.
+		Region   string
+		Strength int
+		Fields   Fields
 		// ParseLoad reads the value of Fields.Load.
 		ParseLoad func(string) (tracker.Report, bool)
 		// HasWarmupRoom reports whether a cold upstream has room for a request.
@@ -100,6 +110,8 @@
 		// OnAnnouncement is called when the response to a request announces that an upstream
 		// leaves or wants a pause, unless that is known. It may be nil.
 		OnAnnouncement func(*Announcement)
+		// OnRelayed is called for each request that another member handed over. It may be nil.
+		OnRelayed func(*RelayedRequest)
 		// OnLoss is called for each connection that was lost during a request, with the state of
 		// its upstream. It may be nil.
 		OnLoss func(*Loss)
@@ -109,6 +121,8 @@
 		Clock   timekeeper.Clock
 
 		active        atomic.Int64
+		relayed       atomic.Int64
+		pending       pendingAttempts
 		organisations organisationLabels
 	}
 
@@ -151,6 +165,9 @@
 		// Load and Own are the load of Upstream that was known when it was chosen.
 		Load float64
 		Own  int
+		// Helper is the member to which the last attempt was handed over, "" if it was sent
+		// directly.
+		Helper string
 		// Suspect is what was known of the request as one that crashes its upstreams. Its
 		// fingerprint is the zero value if it was not looked up.
 		Suspect quarantiner.Suspect
--- a/internal/request/dispatcher/exchange.go
+++ b/internal/request/dispatcher/exchange.go
@@ -10,7 +10,9 @@
 	"github.com/gullvale/gullvale/internal/connection/advisor"
 	"github.com/gullvale/gullvale/internal/request/assigner"
 	"github.com/gullvale/gullvale/internal/request/exchanger"
+	"github.com/gullvale/gullvale/internal/request/placer"
 	"github.com/gullvale/gullvale/internal/request/quarantiner"
+	"github.com/gullvale/gullvale/internal/request/relayer"
 	"github.com/gullvale/gullvale/internal/version/authenticator"
 	"github.com/gullvale/gullvale/internal/version/cataloger"
 	"github.com/gullvale/gullvale/internal/version/matcher"
@@ -54,6 +56,10 @@
 	// they had room: the next attempt may be accepted.
 	refusedRetryAfter = 100 * timekeeper.Millis(1)
 
+	// cutRetryAfter is the shortest Retry-After time while neither this VM nor one that would help
+	// reaches an upstream. Callers return over some more time.
+	cutRetryAfter = 1000 * timekeeper.Millis(1)
+
 	// unknownRetryAfter is the Retry-After time while the entry does not know the
 	// configuration, or not the latest one: half the time that a configuration of 1 MB takes
 	// over the narrowest link.
@@ -116,6 +122,12 @@
 	unreached []cataloger.Incarnation
 	// refusedBy is the last upstream that stated that it did not run the request.
 	refusedBy cataloger.Incarnation
+	// helper is the member that the next attempt is handed over to, nil for a direct one, and
+	// refusedHelpers those that did not take the request.
+	helper         *relayer.Helper
+	refusedHelpers []*relayer.Helper
+	// sawDown means that an upstream considered for the attempt is not reached from here.
+	sawDown bool
 	// sawPause means that an upstream considered for the request wants a pause.
 	sawPause bool
 	// mayHaveRun means that an attempt may have run.
@@ -153,7 +165,7 @@
 		}
 		u, verdict := x.chooseUpstream()
 		if u == nil {
-			x.giveUp(string(verdict))
+			x.giveUp(x.refusalReason(verdict))
 			return
 		}
 		if x.send(u) {
@@ -288,8 +300,11 @@
 // retryAfter returns the Retry-After time of a request that did not run.
 func (x *exchange) retryAfter() timekeeper.Millis {
 	after := fullRetryAfter
-	if len(x.attempted) > 0 {
+	switch {
+	case len(x.attempted) > 0:
 		after = refusedRetryAfter
+	case x.d.isCut():
+		after = advisor.SpreadReturn(cutRetryAfter)
 	}
 	if left := x.pauseLeft(); left > 0 {
 		after = max(after, advisor.SpreadReturn(left))
@@ -297,6 +312,14 @@
 	return after
 }
 
+// refusalReason returns the reason of a request for which no upstream was chosen.
+func (x *exchange) refusalReason(v placer.Verdict) string {
+	if x.onlyKept() {
+		return "no upstream reached"
+	}
+	return string(v)
+}
+
 // giveUp responds to a request that no upstream answered.
 func (x *exchange) giveUp(reason string) {
 	if x.r.Context().Err() != nil {
--- a/internal/request/dispatcher/loss.go
+++ b/internal/request/dispatcher/loss.go
@@ -47,6 +47,8 @@
 
 		// observation is what was known of the request when it was sent.
 		observation quarantiner.Observation
+		// relayed means that the connection was another member's.
+		relayed bool
 	}
 )
 
@@ -62,7 +64,7 @@
 		ID: x.r.Header.Get(x.d.Fields.RequestID), Service: x.service, Upstream: *u,
 		Suspect: x.currentSuspect(),
 	}
-	l.observation = x.observation
+	l.observation, l.relayed = x.observation, x.helper != nil
 	x.decision.Suspect = l.Suspect
 	if !wait {
 		go x.d.probeAndReportLoss(l, t)
@@ -73,7 +75,7 @@
 }
 
 func (d *Dispatcher) probeAndReportLoss(l *Loss, t *tracker.Upstream) {
-	l.UpstreamState = d.probeUpstream(&l.Upstream, t)
+	l.UpstreamState = d.probeUpstream(&l.Upstream, t, l.relayed)
 	if l.UpstreamState == Terminated && d.Quarantine != nil {
 		l.Suspect = d.Quarantine.RecordCrash(l.observation)
 	}
@@ -83,13 +85,28 @@
 	}
 }
 
-// probeUpstream dials u and returns its state. Only a refused connection proves that it has
-// terminated.
-func (d *Dispatcher) probeUpstream(u *cataloger.Upstream, t *tracker.Upstream) UpstreamState {
+// probeUpstream returns the state of u. Only a refused connection proves that it has terminated.
+// relayed means that another member lost the connection, so that one connects to u.
+func (d *Dispatcher) probeUpstream(u *cataloger.Upstream, t *tracker.Upstream, relayed bool) UpstreamState {
 	if d.Catalog().Usable(u.Incarnation()) == nil {
 		return Leaving
 	}
-	ctx, cancel := context.WithTimeout(context.Background(), probeTimeout.Duration())
+	if relayed {
+		if state := d.probeElsewhere(u, probeTimeout); state != "" {
+			return state
+		}
+		return Unreachable
+	}
+	state := d.dialState(t, probeTimeout)
+	if state == Terminated {
+		return d.confirmTerminated(u, probeTimeout)
+	}
+	return state
+}
+
+// dialState dials an upstream from here and returns its state.
+func (d *Dispatcher) dialState(t *tracker.Upstream, timeout timekeeper.Millis) UpstreamState {
+	ctx, cancel := context.WithTimeout(context.Background(), timeout.Duration())
 	defer cancel()
 	err := t.Pool.Check(ctx)
 	switch {
--- /dev/null
+++ b/internal/request/dispatcher/relay.go
@@ -0,0 +1,147 @@
+package dispatcher
+
+import (
+	"errors"
+	"slices"
+
+	"github.com/gullvale/gullvale/internal/connection/sender"
+	"github.com/gullvale/gullvale/internal/connection/tracker"
+	"github.com/gullvale/gullvale/internal/request/relayer"
+	"github.com/gullvale/gullvale/internal/version/cataloger"
+	"github.com/gullvale/gullvale/pkg/timekeeper"
+)
+
+// maxHelpers is how many members may refuse a request before it is treated as if there were none.
+const maxHelpers = 4
+
+// isCut reports whether this VM reaches no upstream.
+func (d *Dispatcher) isCut() bool {
+	return d.Reach != nil && d.Reach.Cut()
+}
+
+// path returns the way to an upstream that the next attempt takes.
+func (x *exchange) path(t *tracker.Upstream) *tracker.Path {
+	if x.helper != nil {
+		return &t.Relayed
+	}
+	return &t.Direct
+}
+
+// onlyKept reports whether the next attempt may only use an open connection: this VM reaches no
+// upstream, and the prober finds out when it does again.
+func (x *exchange) onlyKept() bool {
+	return x.helper == nil && x.d.isCut()
+}
+
+// chooseHelper returns a member that may handle the request and reaches upstreams, or nil if none
+// is known.
+func (x *exchange) chooseHelper() *relayer.Helper {
+	if x.d.Relay == nil || len(x.refusedHelpers) >= maxHelpers {
+		return nil
+	}
+	return x.d.Relay.Choose(x.allowsRegion, x.refusedHelpers)
+}
+
+// sendRelayed hands the request over to the helper and reports whether the caller got a response.
+func (x *exchange) sendRelayed(u *cataloger.Upstream, t *tracker.Upstream) bool {
+	q := x.newRequest(u, t)
+	onHead := q.OnHead
+	q.OnHead = nil
+	call := relayer.Call{Upstream: u.Incarnation(), Service: u.Service, Time: max(x.expiresAt-x.d.Clock.Now(), 1)}
+	x.decision.Helper = x.helper.Name
+	resp, result, err := x.d.Relay.Do(x.r.Context(), x.helper, call, q)
+	switch {
+	case errors.Is(err, sender.ErrWithdrawn):
+		return false
+	case errors.Is(err, sender.ErrNotSent):
+		x.countRelayed(string(relayer.ReasonNotReached))
+		x.excludeHelper(relayer.ReasonNotReached)
+		return false
+	case err != nil:
+		x.countRelayed("helper lost")
+		return x.handleHelperLost(u, err)
+	}
+	defer resp.Close()
+	x.countRelayed(string(result.Outcome))
+	switch {
+	case result.Outcome == relayer.Refused && result.Reason != relayer.ReasonNotUsable:
+		x.excludeHelper(result.Reason)
+		return false
+	case result.Outcome == relayer.Refused, result.Outcome == relayer.NotReached:
+		x.unreached = append(x.unreached, u.Incarnation())
+		t.Relayed.RecordDialFailure()
+		x.decision.Reason = "upstream not reached"
+		return false
+	case result.Outcome == relayer.Answered:
+		onHead(resp.Status, resp.Header)
+		x.attempted = append(x.attempted, u.Incarnation())
+		defer func() { x.decision.Bytes += resp.Bytes() }()
+		x.recordLoad(t, resp)
+		return x.handleResponse(u, t, resp)
+	}
+	// Without a valid outcome the request may have run as well.
+	x.attempted = append(x.attempted, u.Incarnation())
+	x.markMayHaveRun()
+	t.Relayed.RecordLoss()
+	x.decision.Reason = "connection lost"
+	if result.Reason != "" {
+		x.decision.Reason = string(result.Reason)
+	}
+	if result.Reason == reasonConnectionLost {
+		x.checkLoss(u, t, errors.New(string(result.Reason)), x.retryable())
+	}
+	return false
+}
+
+// excludeHelper keeps the request from a helper that did not take it, and others as well for a
+// while if the reason is not the request.
+func (x *exchange) excludeHelper(reason relayer.Reason) {
+	x.decision.Reason = string(reason)
+	if x.r.Context().Err() != nil {
+		return
+	}
+	if reason != relayer.ReasonNotAllowed && reason != relayer.ReasonNotInRegion {
+		x.helper.Avoid()
+	}
+	x.refusedHelpers = append(x.refusedHelpers, x.helper)
+}
+
+// handleHelperLost handles a request that was handed over and of which nothing is known since.
+func (x *exchange) handleHelperLost(u *cataloger.Upstream, err error) bool {
+	x.attempted = append(x.attempted, u.Incarnation())
+	x.markMayHaveRun()
+	x.decision.Reason = "helper lost"
+	switch {
+	case x.r.Context().Err() != nil:
+		x.decision.Reason = "caller left"
+		return false
+	case errors.Is(err, sender.ErrTimeout):
+		x.decision.Reason = "no answer in time"
+		return false
+	}
+	x.helper.Avoid()
+	if !slices.Contains(x.refusedHelpers, x.helper) {
+		x.refusedHelpers = append(x.refusedHelpers, x.helper)
+	}
+	return false
+}
+
+func (x *exchange) countRelayed(outcome string) {
+	x.d.Meter.Count("handed_over", x.labels(outcome))
+}
+
+// confirmTerminated returns the state of an upstream that refuses connections from here, which
+// looks the same if this VM is cut off from it: another member connects to it.
+func (d *Dispatcher) confirmTerminated(u *cataloger.Upstream, timeout timekeeper.Millis) UpstreamState {
+	if d.Relay == nil {
+		return Terminated
+	}
+	state := d.probeElsewhere(u, timeout)
+	switch {
+	case state != "":
+		return state
+	case d.isCut():
+		return Unreachable
+	}
+	return Terminated
+}
--- a/internal/request/dispatcher/send.go
+++ b/internal/request/dispatcher/send.go
@@ -38,10 +38,14 @@
 // send sends the request to u and reports whether the caller got a response.
 func (x *exchange) send(u *cataloger.Upstream) bool {
 	t := x.d.Upstreams.StateOf(u)
-	t.Begin()
+	t.Begin(x.path(t))
 	defer t.End()
+	if x.helper != nil {
+		return x.sendRelayed(u, t)
+	}
+	x.decision.Helper = ""
 	began := x.d.Clock.Now()
-	resp, err := t.Pool.Do(x.r.Context(), x.newRequest(u, t))
+	resp, abandoned, err := x.sendDirect(t, x.newRequest(u, t))
 	x.recordReach(u, began, err)
 	switch {
 	case errors.Is(err, sender.ErrWithdrawn):
@@ -52,7 +56,7 @@
 	}
 	x.attempted = append(x.attempted, u.Incarnation())
 	if err != nil {
-		return x.handleLost(u, t, err)
+		return x.handleLost(u, t, err, abandoned)
 	}
 	defer resp.Close()
 	defer func() { x.decision.Bytes += resp.Bytes() }()
@@ -79,7 +83,9 @@
 	if x.r.Context().Err() != nil {
 		return
 	}
-	t.RecordDialFailure()
+	if !x.onlyKept() {
+		t.Direct.RecordDialFailure()
+	}
 	x.d.Meter.Count("upstream_unreached", x.labels(""))
 }
 
@@ -105,6 +111,7 @@
 		Echo:         x.r.Header.Get(x.d.Fields.RequestID),
 		ConnDeadline: time.Now().Add((x.expiresAt - now).Duration()),
 		DialTimeout:  min(dialTimeout, max(x.expiresAt-now, 1)),
+		NoDial:       x.onlyKept(),
 		Check:        func() bool { return x.maySendNow(u, t) },
 		OnHead:       func(status int, h http.Header) { x.recordAdvice(u, t, status, h) },
 	}
@@ -135,18 +142,21 @@
 }
 
 // handleLost handles a request that was sent and got no valid response.
-func (x *exchange) handleLost(u *cataloger.Upstream, t *tracker.Upstream, err error) bool {
+// abandoned means that it was given up because no response arrives here.
+func (x *exchange) handleLost(u *cataloger.Upstream, t *tracker.Upstream, err error, abandoned bool) bool {
 	x.markMayHaveRun()
 	if x.r.Context().Err() != nil {
 		x.decision.Reason = "caller left"
 		return false
 	}
-	t.RecordLoss()
+	t.Direct.RecordLoss()
 	switch {
+	case abandoned:
+		x.decision.Reason = "no upstream reached"
 	case errors.Is(err, sender.ErrTimeout):
 		x.decision.Reason = "no answer in time"
 	case errors.Is(err, sender.ErrUnacknowledged):
-		t.RecordDialFailure()
+		t.Direct.RecordDialFailure()
 		x.decision.Reason = "upstream silent"
 	case errors.Is(err, sender.ErrMalformed):
 		x.decision.Reason = "malformed answer"
--- a/internal/version/matcher/config.go
+++ b/internal/version/matcher/config.go
@@ -212,6 +212,13 @@
 	return r.hash
 }
 
+// Uses reports whether the route sends requests to a service.
+func (r *Route) Uses(s resolver.ServiceName) bool {
+	return slices.ContainsFunc(r.Parts, func(p Part) bool {
+		return p.Service == s && (p.Weight > 0 || len(r.Parts) == 1)
+	})
+}
+
 // Allows reports whether requests of the route may run in a region.
 func (r *Route) Allows(region string) bool {
 	return len(r.Regions) == 0 || slices.Contains(r.Regions, region)
