director: entries that reach no upstream come last

While VMs are cut from all upstreams the directory named them like the others, so callers kept coming to them. Since they hand requests over they serve, but each such request costs a hop and the work of a second VM.

A lookup now leaves them out, fills up with them if fewer than three others are left, so that a caller that loses two entries has a third, and names all if all are cut: the list is never empty.

--- a/internal/process/director/choose.go
+++ b/internal/process/director/choose.go
@@ -20,7 +20,9 @@
 // Choose returns the addresses of entries for a caller: those of the ready members in
 // its region, of all ready members if the region has none, and of all members that are
 // not leaving if none is ready, as an entry that refuses requests is of more use to a
-// caller than none.
+// caller than none. Of these, members that reach no upstream are included only if there are
+// fewer than minEntries others: they serve by handing requests over, which costs other members as much
+// as a request of their own.
 //
 // Callers spread their requests evenly over the entries of a response. To share load by
 // capacity, each entry is therefore included in a fraction of the responses that equals
@@ -35,7 +37,16 @@
 	if len(near) == 0 {
 		near = filter(members, func(m heartbeater.Member) bool { return !m.Leaving })
 	}
-	return frontAddresses(byStrength(near, hasher.OfString(caller)))
+	reaching := filter(near, func(m heartbeater.Member) bool { return !m.Cut })
+	if len(reaching) == 0 {
+		reaching = near
+	}
+	chosen := byStrength(reaching, hasher.OfString(caller))
+	if missing := minEntries - len(reaching); missing > 0 && len(reaching) < len(near) {
+		cut := byStrength(filter(near, func(m heartbeater.Member) bool { return m.Cut }), hasher.OfString(caller))
+		chosen = append(chosen, cut[:min(missing, len(cut))]...)
+	}
+	return frontAddresses(chosen)
 }
 
 // byStrength returns the members that a caller gets. It omits weak members for some
--- a/internal/process/director/choose_test.go
+++ b/internal/process/director/choose_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"strings"
 	"testing"
 
 	"github.com/matryer/is"
@@ -70,3 +71,31 @@
 	}
 	is.Equal(len(director.Choose(all, "east", "x")), director.MaxEntries)
 }
+
+// TestCutEntriesComeLast guards against callers that are sent to entries which reach no upstream
+// while others do, and against too few entries if most are cut.
+func TestCutEntriesComeLast(t *testing.T) {
+	tests := []struct {
+		name string
+		cut  string
+		want []string
+	}{
+		{"none", "", []string{"a", "b", "c", "d", "e"}},
+		{"two", "ad", []string{"b", "c", "e"}},
+		{"three", "abd", []string{"c", "e", "a"}},
+		{"four", "abcd", []string{"e", "a", "b"}},
+		{"all", "abcde", []string{"a", "b", "c", "d", "e"}},
+	}
+	for _, tt := range tests {
+		t.Run(tt.name, func(t *testing.T) {
+			is := is.New(t)
+			all := []heartbeater.Member{member("z", "west/a", 320, true)}
+			for _, name := range []string{"a", "b", "c", "d", "e"} {
+				m := member(name, "east/a", 320, true)
+				m.Cut = strings.Contains(tt.cut, name)
+				all = append(all, m)
+			}
+			is.Equal(director.Choose(all, "east", "x"), tt.want)
+		})
+	}
+}
