prober: the failure of upstreams is no cut of this VM

A VM is cut now if eight upstreams in a row were not reached, decided after a round of probes, of which the first two are joined by six others if none is reached within 50 ms. A failure after a success is probed at once. A refused dial is the end of an upstream only if another upstream is reached after it, here and at the member that confirms it.

--- a/internal/connection/prober/prober.go
+++ b/internal/connection/prober/prober.go
@@ -12,18 +12,24 @@
 )
 
 const (
-	// minUnreached is how many upstreams must be unreachable in a row for this VM to count as
-	// cut off: one alone may have failed.
-	minUnreached = 2
+	// cutAfter is how many upstreams must be unreachable in a row for this VM to count as cut
+	// off: even where two thirds of all have failed, others are among so many.
+	cutAfter = 8
 
-	// probesPerRound is how many upstreams are dialled at once.
-	probesPerRound = 2
+	// doubtAfter is how many of them make it likely.
+	doubtAfter = 2
+
+	// firstProbes are dialled at the beginning of a round, and moreProbes after hedgeDelay if
+	// none of these was reached. The delay is half a round trip between distant regions.
+	firstProbes = 2
+	moreProbes  = 6
+	hedgeDelay  = 50 * time.Millisecond
 
 	// roundInterval is the pause between two rounds.
 	roundInterval = 250 * time.Millisecond
 
-	// probeTimeout bounds a probe: three round trips between distant regions.
-	probeTimeout = 250 * time.Millisecond
+	// probeTimeout bounds a probe: two round trips between distant regions.
+	probeTimeout = 150 * time.Millisecond
 
 	// silenceTimeout is how long after the first failure no response may have arrived for the
 	// open connections to count as cut as well.
@@ -65,9 +71,11 @@
 		// needed. since is the time of the first sign.
 		unreached map[string]bool
 		since     timekeeper.Millis
-		// suspicious means that probes are under way, cut that enough of them failed.
+		// suspicious means that probes are under way, cut that enough of them failed. settled is
+		// closed when an upstream is reached.
 		suspicious   bool
 		cut          bool
+		settled      chan struct{}
 		lastResponse timekeeper.Millis
 	}
 )
@@ -79,10 +87,32 @@
 	return p.cut
 }
 
-// Suspicious reports whether a failure was seen since an upstream was reached, so that this VM may
-// be cut off.
-func (p *Prober) Suspicious() bool {
-	return p.isSuspicious()
+// Doubtful reports whether this VM is likely to be cut off: several upstreams in a row were not
+// reached.
+func (p *Prober) Doubtful() bool {
+	p.lock.Lock()
+	defer p.lock.Unlock()
+	return p.cut || len(p.unreached) >= doubtAfter
+}
+
+// Settle waits until ctx is done or it is known that this VM reaches some upstream, and reports
+// whether it does. Where there are no others to compare with, a failure tells nothing of this VM.
+func (p *Prober) Settle(ctx context.Context) bool {
+	if len(p.Upstreams()) < 2 {
+		return true
+	}
+	p.lock.Lock()
+	suspicious, settled := p.suspicious, p.settled
+	p.lock.Unlock()
+	if !suspicious {
+		return true
+	}
+	select {
+	case <-settled:
+		return true
+	case <-ctx.Done():
+		return false
+	}
 }
 
 // Suspect starts probing, for example since a dial takes long.
@@ -97,7 +127,7 @@
 	if p.suspicious {
 		return
 	}
-	p.suspicious, p.since = true, p.Clock.Now()
+	p.suspicious, p.since, p.settled = true, p.Clock.Now(), make(chan struct{})
 	select {
 	case p.signal() <- struct{}{}:
 	default:
@@ -112,15 +142,22 @@
 // RecordUnreached records that the upstream at an address did not accept a connection, or stopped
 // acknowledging data.
 func (p *Prober) RecordUnreached(address string) {
-	needed := max(min(minUnreached, len(p.Upstreams())), 1)
 	p.lock.Lock()
+	defer p.lock.Unlock()
 	p.suspect()
 	if p.unreached == nil {
 		p.unreached = map[string]bool{}
 	}
-	if len(p.unreached) < needed {
+	if len(p.unreached) < cutAfter {
 		p.unreached[address] = true
 	}
+}
+
+// concludeCut is called after a round of probes. This VM is cut off if enough upstreams failed and
+// none was reached: results of one round arrive in any order.
+func (p *Prober) concludeCut() {
+	needed := max(min(cutAfter, len(p.Upstreams())), 1)
+	p.lock.Lock()
 	changed := !p.cut && len(p.unreached) >= needed
 	p.cut = p.cut || changed
 	c := Change{Cut: true, Since: p.Clock.Now() - p.since}
@@ -146,6 +183,7 @@
 	c := Change{Since: p.Clock.Now() - p.since, Reached: address}
 	p.cut, p.suspicious = false, false
 	clear(p.unreached)
+	close(p.settled)
 	p.lock.Unlock()
 	if changed {
 		p.report(c)
@@ -168,21 +206,25 @@
 
 // Run probes upstreams after failures, until ctx is done.
 func (p *Prober) Run(ctx context.Context) {
+	pause := time.NewTimer(0)
+	defer pause.Stop()
 	for {
 		select {
 		case <-ctx.Done():
 			return
 		case <-p.signal():
+		case <-pause.C:
 		}
-		for p.isSuspicious() && ctx.Err() == nil {
-			p.probeRound(ctx)
-			if p.silent() && p.OnSilence != nil {
-				p.OnSilence()
-			}
-			if p.isSuspicious() {
-				sleep(ctx, roundInterval)
-			}
+		if !p.isSuspicious() {
+			continue
+		}
+		p.probeRound(ctx)
+		p.concludeCut()
+		if p.silent() && p.OnSilence != nil {
+			p.OnSilence()
 		}
+		// A failure after an upstream was reached is probed at once.
+		pause.Reset(roundInterval)
 	}
 }
 
@@ -199,25 +241,64 @@
 	return p.cut && p.lastResponse < p.since && p.Clock.Now()-p.since >= silenceTimeout
 }
 
-// probeRound dials a few upstreams and waits for the results.
+// probeRound dials a few upstreams, more of them if none is reached at once and it is not known
+// whether this VM is cut off, and waits for the results.
 func (p *Prober) probeRound(ctx context.Context) {
-	ctx, cancel := context.WithTimeout(ctx, probeTimeout)
-	defer cancel()
+	targets := p.targets(firstProbes + moreProbes)
+	first := targets[:min(firstProbes, len(targets))]
+	ended := p.start(ctx, first)
+	if !p.Cut() && p.awaitFirst(ctx, ended) {
+		<-p.start(ctx, targets[len(first):])
+	}
+	<-ended
+}
+
+// start dials upstreams concurrently. The returned channel is closed when all dials have ended.
+func (p *Prober) start(ctx context.Context, targets []*cataloger.Upstream) <-chan struct{} {
 	var probes sync.WaitGroup
-	for _, u := range p.targets() {
-		probes.Go(func() { p.Probe(ctx, u) })
+	for _, u := range targets {
+		probes.Go(func() {
+			ctx, cancel := context.WithTimeout(ctx, probeTimeout)
+			defer cancel()
+			p.Probe(ctx, u)
+		})
 	}
+	ended := make(chan struct{})
+	go runClose(&probes, ended)
+	return ended
+}
+
+// runClose closes ended when all probes have ended.
+func runClose(probes *sync.WaitGroup, ended chan<- struct{}) {
 	probes.Wait()
+	close(ended)
 }
 
-// targets returns the upstreams of the next round: a random one nearby and a random one of another
-// failure domain, neither of which failed before if there are others.
-func (p *Prober) targets() []*cataloger.Upstream {
+// awaitFirst waits until the first probes have ended, or for hedgeDelay, and reports whether none
+// has reached its upstream.
+func (p *Prober) awaitFirst(ctx context.Context, ended <-chan struct{}) bool {
+	p.lock.Lock()
+	settled := p.settled
+	p.lock.Unlock()
+	hedge := time.NewTimer(hedgeDelay)
+	defer hedge.Stop()
+	select {
+	case <-settled:
+	case <-ended:
+	case <-hedge.C:
+	case <-ctx.Done():
+	}
+	return p.isSuspicious()
+}
+
+// targets returns up to n upstreams to probe: random ones of different failure domains, those
+// nearby and those that did not fail first.
+func (p *Prober) targets(n int) []*cataloger.Upstream {
 	all := p.Upstreams()
 	p.lock.Lock()
 	defer p.lock.Unlock()
 	var chosen []*cataloger.Upstream
-	for range probesPerRound {
+	for range n {
 		var best *cataloger.Upstream
 		bestRank := 0
 		for _, i := range rand.Perm(len(all)) {
@@ -234,29 +315,20 @@
 
 // rank returns how well an upstream suits the next probe beside the chosen ones, 0 if not at all.
 func (p *Prober) rank(u *cataloger.Upstream, chosen []*cataloger.Upstream) int {
-	rank := 1
+	rank := 2 * (len(chosen) + 1)
 	if !p.unreached[u.Address] {
-		rank += 4
+		rank += 2 * (firstProbes + moreProbes)
 	}
 	if u.Site.Region() == p.Site.Region() {
 		rank++
 	}
 	for _, c := range chosen {
-		if c.Address == u.Address {
+		switch {
+		case c.Address == u.Address:
 			return 0
-		}
-		if c.Site != u.Site {
-			rank += 2
+		case c.Site == u.Site:
+			rank -= 2
 		}
 	}
 	return rank
 }
-
-func sleep(ctx context.Context, d time.Duration) {
-	t := time.NewTimer(d)
-	defer t.Stop()
-	select {
-	case <-ctx.Done():
-	case <-t.C:
-	}
-}
--- a/internal/request/dispatcher/choose.go
+++ b/internal/request/dispatcher/choose.go
@@ -23,7 +23,7 @@
 		return nil, placer.Gone
 	}
 	x.helper, x.sawDown = nil, false
-	if x.d.isCut() {
+	if x.d.isCut() || len(x.unreached) > 0 && x.d.Reach != nil && x.d.Reach.Doubtful() {
 		x.helper = x.chooseHelper()
 	}
 	u, verdict := x.chooseOnPath()
--- a/internal/request/dispatcher/loss.go
+++ b/internal/request/dispatcher/loss.go
@@ -112,8 +112,11 @@
 	switch {
 	case err == nil:
 		return Alive
-	case errors.Is(err, syscall.ECONNREFUSED):
-		return Terminated
+	case !errors.Is(err, syscall.ECONNREFUSED):
+		return Unreachable
+	case d.Reach != nil && !d.Reach.Settle(ctx):
+		// Others refuse as well: this VM may be cut off.
+		return Unreachable
 	}
-	return Unreachable
+	return Terminated
 }
--- a/internal/request/dispatcher/relayed.go
+++ b/internal/request/dispatcher/relayed.go
@@ -233,7 +233,7 @@
 	switch {
 	case errors.Is(err, sender.ErrWithdrawn):
 		x.finish(relayer.Refused, relayer.ReasonNotUsable)
-	case errors.Is(err, sender.ErrNotSent) && d.Reach != nil && d.Reach.Suspicious():
+	case errors.Is(err, sender.ErrNotSent) && d.Reach != nil && d.Reach.Doubtful():
 		// This VM may be cut off, which tells nothing of the upstream.
 		x.finish(relayer.Refused, relayer.ReasonCut)
 	case errors.Is(err, sender.ErrNotSent):
