--- a/internal/process/explainer/explain.go
+++ b/internal/process/explainer/explain.go
@@ -28,6 +28,10 @@
 		Upstream, Told, Left *Line
 		// Store is the line that reports the store lost, nil if the VM had the store.
 		Store *Line
+		// Cut is the line that reports that the VM reaches no upstream, nil if it reached some.
+		Cut *Line
+		// Relayed are the lines of the VMs to which the request was handed over.
+		Relayed []*Line
 		// Others counts the other requests at the upstream within othersWindow by how
 		// they ended.
 		Others []Count
@@ -54,6 +58,16 @@
 	{"answer of unknown origin", "the response does not identify the upstream: something else listens at its address"},
 	{"answer broke off", "the upstream's response ended before it was complete"},
 	{"upstream not reached", "no connection to the upstream could be opened"},
+	{"no upstream reached", "neither this VM nor one that could help reached an upstream"},
+	{"helper not reached", "the VM to which the request was to be handed over accepted no connection"},
+	{"helper lost", "the connection to the VM to which the request was handed over was lost: it may have run"},
+	{"helper busy", "the VM to which the request was to be handed over had too many requests of others"},
+	{"helper reaches no upstream", "the VM to which the request was to be handed over reaches no upstream either"},
+	{"helper stopping", "the VM to which the request was to be handed over was about to stop"},
+	{"not a member", "the VM to which the request was to be handed over did not know this one"},
+	{"not allowed by the helper's configuration", "the configuration in force at the VM to which the request was to be handed over does not allow it"},
+	{"not allowed in the helper's region", "route or organisation do not allow the region of the VM to which the request was to be handed over"},
+	{"tried", "an attempt at the key's upstream had failed to connect"},
 	{"upstream failed", "the upstream reported a failure"},
 	{"refused by upstream", "the upstream reported that it did not run the request"},
 	{"no configuration", "the VM had just started and knew no configuration yet"},
@@ -117,9 +131,20 @@
 	}
 	e.Others = l.countOthers(n)
 	e.Evidence = l.evidence(n)
+	e.Relayed = l.relayed(q.ID)
 	return e
 }
 
+// relayed returns the lines of VMs to which a request was handed over.
+func (l *Log) relayed(id string) (list []*Line) {
+	for i := range l.lines {
+		if x := &l.lines[i]; x.Message == msgRelayed && x.ID == id {
+			list = append(list, x)
+		}
+	}
+	return list
+}
+
 // addOwnLine evaluates an earlier line of the request's VM.
 func (e *Explanation) addOwnLine(x *Line) {
 	switch {
@@ -131,6 +156,10 @@
 		e.Store = x
 	case x.Message == msgStoreRegained:
 		e.Store = nil
+	case x.Message == msgCut:
+		e.Cut = x
+	case x.Message == msgReached:
+		e.Cut = nil
 	}
 }
 
--- a/internal/process/explainer/line.go
+++ b/internal/process/explainer/line.go
@@ -26,6 +26,9 @@
 	msgConnectionLost = "connection lost"
 	msgQuarantined    = "request quarantined"
 	msgReleased       = "request released"
+	msgCut            = "no upstream reached"
+	msgReached        = "upstreams reached again"
+	msgRelayed        = "relayed request"
 )
 
 type (
@@ -51,6 +54,10 @@
 		PreviousHome     string `json:"left"`
 		PreviousHomeSite string `json:"leftSite"`
 		Outcome          string `json:"outcome"`
+		// Helper is the VM to which the request was handed over. In the line of that VM, From
+		// is the one that did so.
+		Helper string `json:"helper"`
+		From   string `json:"from"`
 		Reason           string `json:"reason"`
 		Config           uint64 `json:"config"`
 		// ConfigLag is for how long, in milliseconds, a change that may concern the
--- a/internal/process/explainer/text.go
+++ b/internal/process/explainer/text.go
@@ -35,6 +35,15 @@
 	if e.Store != nil {
 		printf("the VM had lost the store (%s) %s before", e.Store.Kind, timeBefore(q, e.Store))
 	}
+	if e.Cut != nil {
+		printf("the VM had reached no upstream for %s", timeBefore(q, e.Cut))
+	}
+	if q.Helper != "" {
+		printf("handed over to %s", q.Helper)
+	}
+	for _, x := range e.Relayed {
+		printf("%s: %s", x.Source, x.relayedText())
+	}
 	for _, c := range e.Others {
 		printf("%d others at this upstream within %s: %s", c.Requests, othersWindow, c.Ended)
 	}
@@ -92,6 +101,15 @@
 	}
 }
 
+// relayedText describes what became of a request that was handed over.
+func (x *Line) relayedText() string {
+	text := fmt.Sprintf("%s for %s, upstream %s", x.Outcome, x.From, x.Upstream)
+	if x.Reason != "" {
+		text += ", " + x.Reason
+	}
+	return text
+}
+
 // upstreamText describes the state of an upstream according to a line.
 func (x *Line) upstreamText(id string) string {
 	switch {
