--- a/internal/process/explainer/line.go
+++ b/internal/process/explainer/line.go
@@ -58,8 +58,8 @@
 		// is the one that did so.
 		Helper string `json:"helper"`
 		From   string `json:"from"`
-		Reason           string `json:"reason"`
-		Config           uint64 `json:"config"`
+		Reason string `json:"reason"`
+		Config uint64 `json:"config"`
 		// ConfigLag is for how long, in milliseconds, a change that may concern the
 		// configuration had been announced but not read.
 		ConfigLag     float64 `json:"behind"`
