--- a/internal/request/dispatcher/exchange.go
+++ b/internal/request/dispatcher/exchange.go
@@ -106,7 +106,9 @@
 	// streamedBody is a body that exceeds the buffer, and bodyPrefix its buffered beginning.
 	streamedBody io.Reader
 	bodyPrefix   []byte
-	bodyLength   int64
+	// bodyRead means that a part of streamedBody was read for an attempt.
+	bodyRead   bool
+	bodyLength int64
 	// fingerprint is the fingerprint of the request, or nil if it was not computed yet.
 	fingerprint *quarantiner.Fingerprint
 	// observation is what was known of the request as a suspect before its last attempt.
--- a/internal/request/dispatcher/relay.go
+++ b/internal/request/dispatcher/relay.go
@@ -63,6 +63,7 @@
 	}
 	defer resp.Close()
 	x.countRelayed(string(result.Outcome))
+	x.bodyRead = x.streamedBody != nil
 	switch {
 	case result.Outcome == relayer.Refused && result.Reason != relayer.ReasonNotUsable:
 		x.excludeHelper(result.Reason)
--- a/internal/request/dispatcher/relay_test.go
+++ b/internal/request/dispatcher/relay_test.go
@@ -8,6 +8,7 @@
 	"net/http"
 	"net/http/httptest"
 	"strings"
+	"sync"
 	"sync/atomic"
 	"syscall"
 	"testing"
@@ -276,3 +277,36 @@
 	}
 	is.True(s.handedOver.Load() == nil)
 }
+
+// TestStreamedBodyIsHandedOverOnce guards against a body that was partly read for one attempt and
+// reaches an upstream truncated in the next.
+func TestStreamedBodyIsHandedOverOnce(t *testing.T) {
+	is := is.New(t)
+	s := newRelayHarness(t, matcher.Idempotent)
+	var lengths []int
+	var lock sync.Mutex
+	for _, id := range []string{"u", "v", "w"} {
+		l := s.add(t, id, func(w http.ResponseWriter, r *http.Request) {
+			b, _ := io.ReadAll(r.Body)
+			lock.Lock()
+			lengths = append(lengths, len(b))
+			lock.Unlock()
+			succeeds(w, r)
+		})
+		if id != "w" {
+			l.Close()
+		}
+	}
+	const size = 300 << 10
+	for i := range 20 {
+		p, _ := s.do(http.MethodPost, string(rune('a'+i)), func(q *http.Request) {
+			q.Body, q.ContentLength = io.NopCloser(strings.NewReader(strings.Repeat("b", size))), -1
+			q.Header.Set(fields.Key, string(rune('a'+i)))
+		})
+		is.True(p.StatusCode == http.StatusOK || p.StatusCode == http.StatusServiceUnavailable)
+	}
+	is.True(len(lengths) > 0)
+	for _, n := range lengths {
+		is.Equal(n, size)
+	}
+}
--- a/internal/request/dispatcher/send.go
+++ b/internal/request/dispatcher/send.go
@@ -19,6 +19,8 @@
 		return "caller left"
 	case x.expiresAt-x.d.Clock.Now() < minAttemptTime:
 		return "no time left"
+	case x.bodyRead:
+		return "body sent"
 	case len(x.attempted) == 0:
 		return ""
 	case x.mayHaveRun && !x.route.Kind.Retryable():
