--- a/internal/request/relayer/relayer.go
+++ b/internal/request/relayer/relayer.go
@@ -135,6 +135,15 @@
 	}
 }
 
+// Close closes the connections to helpers, each one in use after its request.
+func (r *Relayer) Close() {
+	r.lock.Lock()
+	defer r.lock.Unlock()
+	for _, h := range r.helpers {
+		h.pool.Close()
+	}
+}
+
 // Do hands a request over to a helper. The errors are those of sender.Pool.Do and concern the
 // connection to the helper: with sender.ErrNotSent the request reached nobody, and with others it
 // may have run. On success the result tells what became of the request.
