--- a/internal/request/dispatcher/relay.go
+++ b/internal/request/dispatcher/relay.go
@@ -2,7 +2,6 @@
 
 import (
 	"errors"
-	"slices"
 
 	"github.com/gullvale/gullvale/internal/connection/sender"
 	"github.com/gullvale/gullvale/internal/connection/tracker"
@@ -45,42 +44,61 @@
 // sendRelayed hands the request over to the helper and reports whether the caller got a response.
 func (x *exchange) sendRelayed(u *cataloger.Upstream, t *tracker.Upstream) bool {
 	q := x.newRequest(u, t)
-	onHead := q.OnHead
+	// What a helper itself responds is no advice of the upstream.
+	recordAdvice := q.OnHead
 	q.OnHead = nil
 	call := relayer.Call{Upstream: u.Incarnation(), Service: u.Service, Time: max(x.expiresAt-x.d.Clock.Now(), 1)}
 	x.decision.Helper = x.helper.Name
 	resp, result, err := x.d.Relay.Do(x.r.Context(), x.helper, call, q)
-	switch {
-	case errors.Is(err, sender.ErrWithdrawn):
+	if err != nil {
+		x.handleHandOverError(u, err)
 		return false
-	case errors.Is(err, sender.ErrNotSent):
-		x.countRelayed(string(relayer.ReasonNotReached))
-		x.excludeHelper(relayer.ReasonNotReached)
-		return false
-	case err != nil:
-		x.countRelayed("helper lost")
-		return x.handleHelperLost(u, err)
 	}
 	defer resp.Close()
 	x.countRelayed(string(result.Outcome))
 	x.bodyRead = x.streamedBody != nil
-	switch {
-	case result.Outcome == relayer.Refused && result.Reason != relayer.ReasonNotUsable:
-		x.excludeHelper(result.Reason)
-		return false
-	case result.Outcome == relayer.Refused, result.Outcome == relayer.NotReached:
-		x.unreached = append(x.unreached, u.Incarnation())
-		t.Relayed.RecordDialFailure()
-		x.decision.Reason = "upstream not reached"
-		return false
-	case result.Outcome == relayer.Answered:
-		onHead(resp.Status, resp.Header)
+	switch result.Outcome {
+	case relayer.Answered:
+		recordAdvice(resp.Status, resp.Header)
 		x.attempted = append(x.attempted, u.Incarnation())
 		defer func() { x.decision.Bytes += resp.Bytes() }()
 		x.recordLoad(t, resp)
 		return x.handleResponse(u, t, resp)
+	case relayer.Refused, relayer.NotReached:
+		x.handleRelayedNotSent(u, t, result)
+	default:
+		x.handleRelayedLost(u, t, result)
 	}
-	// Without a valid outcome the request may have run as well.
+	return false
+}
+
+// handleHandOverError handles a request of which the helper said nothing.
+func (x *exchange) handleHandOverError(u *cataloger.Upstream, err error) {
+	switch {
+	case errors.Is(err, sender.ErrWithdrawn):
+	case errors.Is(err, sender.ErrNotSent):
+		x.countRelayed(string(relayer.ReasonNotReached))
+		x.excludeHelper(relayer.ReasonNotReached)
+	default:
+		x.countRelayed("helper lost")
+		x.handleHelperLost(u, err)
+	}
+}
+
+// handleRelayedNotSent handles a request that the helper did not send to the upstream.
+func (x *exchange) handleRelayedNotSent(u *cataloger.Upstream, t *tracker.Upstream, result relayer.Result) {
+	if result.Outcome == relayer.Refused && result.Reason != relayer.ReasonNotUsable {
+		x.excludeHelper(result.Reason)
+		return
+	}
+	x.unreached = append(x.unreached, u.Incarnation())
+	t.Relayed.RecordDialFailure()
+	x.decision.Reason = "upstream not reached"
+}
+
+// handleRelayedLost handles a request that the helper sent without a valid response. Without a
+// valid outcome it may have run as well.
+func (x *exchange) handleRelayedLost(u *cataloger.Upstream, t *tracker.Upstream, result relayer.Result) {
 	x.attempted = append(x.attempted, u.Incarnation())
 	x.markMayHaveRun()
 	t.Relayed.RecordLoss()
@@ -91,7 +109,6 @@
 	if result.Reason == reasonConnectionLost {
 		x.checkLoss(u, t, errors.New(string(result.Reason)), x.retryable())
 	}
-	return false
 }
 
 // excludeHelper keeps the request from a helper that did not take it, and others as well for a
@@ -108,23 +125,17 @@
 }
 
 // handleHelperLost handles a request that was handed over and of which nothing is known since.
-func (x *exchange) handleHelperLost(u *cataloger.Upstream, err error) bool {
+func (x *exchange) handleHelperLost(u *cataloger.Upstream, err error) {
 	x.attempted = append(x.attempted, u.Incarnation())
 	x.markMayHaveRun()
-	x.decision.Reason = "helper lost"
 	switch {
 	case x.r.Context().Err() != nil:
 		x.decision.Reason = "caller left"
-		return false
 	case errors.Is(err, sender.ErrTimeout):
 		x.decision.Reason = "no answer in time"
-		return false
+	default:
+		x.excludeHelper("helper lost")
 	}
-	x.helper.Avoid()
-	if !slices.Contains(x.refusedHelpers, x.helper) {
-		x.refusedHelpers = append(x.refusedHelpers, x.helper)
-	}
-	return false
 }
 
 func (x *exchange) countRelayed(outcome string) {
