--- a/internal/request/dispatcher/exchange.go
+++ b/internal/request/dispatcher/exchange.go
@@ -317,7 +317,7 @@
 // refusalReason returns the reason of a request for which no upstream was chosen.
 func (x *exchange) refusalReason(v placer.Verdict) string {
 	if x.onlyKept() {
-		return "no upstream reached"
+		return reasonNoneReached
 	}
 	return string(v)
 }
--- a/internal/request/dispatcher/pending.go
+++ b/internal/request/dispatcher/pending.go
@@ -60,18 +60,18 @@
 	clear(p.attempts)
 }
 
-// sendDirect sends an attempt over a connection of this VM. abandoned reports that it ended
-// because no response arrives here.
-func (x *exchange) sendDirect(t *tracker.Upstream, q *sender.Request) (resp *sender.Response, abandoned bool, err error) {
-	if !x.retryable() {
-		resp, err = t.Pool.Do(x.r.Context(), q)
+// sendDirect sends an attempt over a connection of this VM, for a request with the context ctx.
+// abandoned reports that an attempt which may be made again ended because no response arrives here.
+func (d *Dispatcher) sendDirect(ctx context.Context, t *tracker.Upstream, q *sender.Request, retryable bool) (resp *sender.Response, abandoned bool, err error) {
+	if !retryable {
+		resp, err = t.Pool.Do(ctx, q)
 		return resp, false, err
 	}
-	// The context of the caller's request ends this one, which lasts as long as the response.
-	ctx, cancel := context.WithCancel(x.r.Context())
+	// The context of the request ends this one, which lasts as long as the response.
+	ctx, cancel := context.WithCancel(ctx)
 	a := &pendingAttempt{cancel: cancel}
-	x.d.pending.add(a)
-	defer x.d.pending.remove(a)
+	d.pending.add(a)
+	defer d.pending.remove(a)
 	resp, err = t.Pool.Do(ctx, q)
 	return resp, a.abandoned.Load(), err
 }
--- a/internal/request/dispatcher/relay.go
+++ b/internal/request/dispatcher/relay.go
@@ -106,6 +106,9 @@
 	if result.Reason != "" {
 		x.decision.Reason = string(result.Reason)
 	}
+	if result.Reason == reasonNoneReached {
+		x.excludeHelper(reasonNoneReached)
+	}
 	if result.Reason == reasonConnectionLost {
 		x.checkLoss(u, t, errors.New(string(result.Reason)), x.retryable())
 	}
--- a/internal/request/dispatcher/relay_test.go
+++ b/internal/request/dispatcher/relay_test.go
@@ -310,3 +310,31 @@
 		is.Equal(n, size)
 	}
 }
+
+// TestHelperThatIsCutGivesRequestsBack guards against an idempotent request that waits at a helper
+// from which all upstreams have fallen silent.
+func TestHelperThatIsCutGivesRequestsBack(t *testing.T) {
+	is := is.New(t)
+	s := newRelayHarness(t, matcher.Idempotent)
+	arrived := make(chan struct{})
+	s.add(t, "u", firstOf(func(_ http.ResponseWriter, r *http.Request) {
+		_, _ = io.ReadAll(r.Body)
+		close(arrived)
+		<-r.Context().Done()
+	}, succeeds))
+	s.helper.Relay = &relayer.Relayer{
+		Self: func() heartbeater.Member { return s.helperMember },
+		Members: func() []heartbeater.Member {
+			return []heartbeater.Member{{Name: "other", Incarnation: 3, Site: "east/a", Relays: true}}
+		},
+	}
+	go func() {
+		<-arrived
+		s.helper.AbandonPending()
+	}()
+	began := time.Now()
+	p, _ := s.do(http.MethodPost, "id", nil)
+	is.True(time.Since(began) < time.Second)                                        // the time limit is 2 s
+	is.True(p.StatusCode == http.StatusOK || p.StatusCode == http.StatusBadGateway) // no second helper
+	is.Equal((<-s.relayed).Reason, relayer.Reason("no upstream reached"))
+}
--- a/internal/request/dispatcher/relayed.go
+++ b/internal/request/dispatcher/relayed.go
@@ -30,6 +30,7 @@
 	reasonSilent         = "upstream silent"
 	reasonNoAnswer       = "no answer in time"
 	reasonMalformed      = "malformed answer"
+	reasonNoneReached    = "no upstream reached"
 )
 
 type (
@@ -51,6 +52,8 @@
 		call      relayer.Call
 		upstream  *cataloger.Upstream
 		tracked   *tracker.Upstream
+		// retryable means that the request may be sent again after it may have run.
+		retryable bool
 		record    RelayedRequest
 	}
 )
@@ -119,6 +122,7 @@
 	if route == nil || !route.Uses(x.call.Service) {
 		return relayer.ReasonNotAllowed
 	}
+	x.retryable = route.Kind.Retryable()
 	var organisation *authenticator.Organisation
 	if name := x.organisationName(); name != "" {
 		if organisation = c.Organisations.ByHash(hasher.OfString(name)); organisation == nil {
@@ -155,8 +159,12 @@
 	t.Begin(&t.Direct)
 	defer t.End()
 	began := x.d.Clock.Now()
-	resp, err := t.Pool.Do(x.r.Context(), q)
-	if err != nil {
+	resp, abandoned, err := x.d.sendDirect(x.r.Context(), t, q, x.retryable && q.Stream == nil)
+	switch {
+	case abandoned && err != nil:
+		x.finish(relayer.Lost, reasonNoneReached)
+		return
+	case err != nil:
 		x.handleError(err)
 		return
 	}
--- a/internal/request/dispatcher/send.go
+++ b/internal/request/dispatcher/send.go
@@ -47,7 +47,7 @@
 	}
 	x.decision.Helper = ""
 	began := x.d.Clock.Now()
-	resp, abandoned, err := x.sendDirect(t, x.newRequest(u, t))
+	resp, abandoned, err := x.d.sendDirect(x.r.Context(), t, x.newRequest(u, t), x.retryable())
 	x.recordReach(u, began, err)
 	switch {
 	case errors.Is(err, sender.ErrWithdrawn):
@@ -154,7 +154,7 @@
 	t.Direct.RecordLoss()
 	switch {
 	case abandoned:
-		x.decision.Reason = "no upstream reached"
+		x.decision.Reason = reasonNoneReached
 	case errors.Is(err, sender.ErrTimeout):
 		x.decision.Reason = "no answer in time"
 	case errors.Is(err, sender.ErrUnacknowledged):
