linker: a reset of a stream hides nothing that was received

What callers saw: a long answer that is cut off, although another daemon had sent all of it, if its caller still reads five minutes after the owner closed the stream. A GET was reported as answered and not whole.

Cause: an owner's yamux resets a stream that the other end has not closed within StreamCloseTimeout of its own close. At the receiver a reset sets a state in which Read fails before it looks at the buffer. So the end of one direction (the owner no longer reads) was taken for the outcome of the exchange.

Ruled out: bytes that had not arrived.

A close does not always precede the reset: yamux leaves it out if the connection takes no bytes for ConnectionWriteTimeout and its queue is full, and resets the stream later all the same.

Change: between the connection and yamux, the reset of a call sent from here becomes the end of its stream, or nothing if that has arrived. yamux then returns all that was received before the end. After a reset without an end only a whole answer is passed on, so that a slow caller learns at once that the rest is missing. A write that waits for the window ends with the reset. The flags are changed in place; an incomplete header is held back, no other byte is. A stream is known from the opening of its call to its return.

One allocation more a call.

--- a/internal/connection/linker/call.go
+++ b/internal/connection/linker/call.go
@@ -1,6 +1,7 @@
 package linker
 
 import (
+	"bytes"
 	"context"
 	"errors"
 	"io"
@@ -30,7 +31,7 @@
 	call            *exchanger.Call
 	peer            *Peer
 	session         *Session
-	stream          io.ReadWriteCloser
+	stream          *callStream
 	writer          *framer.Writer
 	reader          *framer.Reader
 	responseStarted bool
@@ -47,10 +48,13 @@
 	if s == nil {
 		return exchanger.Refused(exchanger.ReasonLinkUnreachable, 0)
 	}
-	stream, err := s.mux.OpenStream()
+	opened, err := s.mux.OpenStream()
 	if err != nil {
 		return exchanger.Refused(exchanger.ReasonLinkUnreachable, 0)
 	}
+	stream := &callStream{Stream: opened}
+	s.conn.addCall(stream)
+	defer s.conn.removeCall(stream)
 	defer stream.Close()
 	p.recordUse(pooler.KeyOf(c))
 	s.pendingCalls.Add(1)
@@ -64,7 +68,7 @@
 	defer stop()
 	o := &outboundCall{call: c, peer: p, session: s, stream: stream, writer: framer.NewWriter(stream), reader: framer.NewReader(streamReader{stream})}
 	err = o.writer.Message(framer.KindRequest, newRequestMessage(c, relay, now))
-	if err != nil && !endsReads(err) {
+	if err != nil && !endsReads(err) && !stream.reset.Load() {
 		return o.linkLost(ctx)
 	}
 	// The request may have been written, and its response received, before the link ended.
@@ -79,17 +83,36 @@
 }
 
 func (o *outboundCall) run(ctx context.Context) exchanger.Result {
-	for {
+	for !o.stream.resetBeforeClose() {
 		f, err := o.reader.Read()
 		if err != nil {
 			return o.linkLost(ctx)
 		}
 		o.session.recordReply(o.peer.manager.Clock.Now())
-		r, done := o.handleFrame(f)
-		if done {
+		if r, done := o.handleFrame(f); done {
+			return r
+		}
+	}
+	return o.runAfterReset(ctx)
+}
+
+// runAfterReset handles a response whose stream was reset and not closed. Only a whole one is
+// passed on: a caller that reads slowly would otherwise learn late that the rest is missing.
+func (o *outboundCall) runAfterReset(ctx context.Context) exchanger.Result {
+	var rest []framer.Frame
+	for len(rest) == 0 || rest[len(rest)-1].Kind != framer.KindEnd {
+		f, err := o.reader.Read()
+		if err != nil {
+			return o.linkLost(ctx)
+		}
+		rest = append(rest, framer.Frame{Kind: f.Kind, Body: bytes.Clone(f.Body)})
+	}
+	for _, f := range rest {
+		if r, done := o.handleFrame(f); done {
 			return r
 		}
 	}
+	return o.linkLost(ctx)
 }
 
 func (o *outboundCall) handleFrame(f framer.Frame) (exchanger.Result, bool) {
--- a/internal/connection/linker/link_test.go
+++ b/internal/connection/linker/link_test.go
@@ -29,7 +29,7 @@
 }
 
 // connectManagers starts two managers and returns them with the link between them.
-func connectManagers(t *testing.T, clock timekeeper.Clock) (from, to *linker.Manager, p *linker.Peer) {
+func connectManagers(t testing.TB, clock timekeeper.Clock) (from, to *linker.Manager, p *linker.Peer) {
 	t.Helper()
 	ctx, cancel := context.WithCancel(context.Background())
 	t.Cleanup(cancel)
--- a/internal/connection/linker/loss_test.go
+++ b/internal/connection/linker/loss_test.go
@@ -14,6 +14,7 @@
 	"testing"
 	"time"
 
+	"github.com/hashicorp/yamux"
 	"github.com/matryer/is"
 
 	"github.com/gullvale/gullvale/internal/connection/framer"
@@ -45,7 +46,9 @@
 	// fields leave them as they are.
 	orderedConn struct {
 		net.Conn
-		// beforeWrite fails a write; afterWrite runs before a write that succeeded returns.
+		// replace returns what is written in place of p, in the same length. beforeWrite fails a
+		// write; afterWrite runs before a write that succeeded returns.
+		replace     func(p []byte) []byte
 		beforeWrite func(p []byte) error
 		afterWrite  func(p []byte)
 		// beforeRead runs before the kernel is asked, afterRead before the bytes are
@@ -62,6 +65,10 @@
 		rest []byte
 		// receiveBytes is the kernel's receive buffer of a dialled end, 0 for its default.
 		receiveBytes int
+		// pieceBytes is the largest number of bytes that a read returns, 0 for no limit.
+		pieceBytes int
+		// configure changes the configuration of yamux at this end.
+		configure func(*yamux.Config)
 	}
 
 	// orderedLink is a link between two managers, and its two ends.
@@ -83,6 +90,9 @@
 }
 
 func (c *orderedConn) Write(p []byte) (int, error) {
+	if c.replace != nil {
+		p = c.replace(p)
+	}
 	if c.beforeWrite != nil {
 		if err := c.beforeWrite(p); err != nil {
 			return 0, err
@@ -97,6 +107,9 @@
 }
 
 func (c *orderedConn) Read(p []byte) (int, error) {
+	if c.pieceBytes > 0 {
+		p = p[:min(len(p), c.pieceBytes)]
+	}
 	if len(c.rest) > 0 {
 		n := copy(p, c.rest)
 		c.rest = c.rest[n:]
@@ -177,6 +190,7 @@
 			dialled.Conn = conn
 			return dialled, nil
 		},
+		ConfigureMux: dialled.configure,
 	}
 	acceptedOnce := make(chan struct{})
 	var once sync.Once
@@ -184,6 +198,8 @@
 		Clock:    clock,
 		Self:     func() registrar.Member { return member },
 		Accepted: func(*linker.Session) { once.Do(func() { close(acceptedOnce) }) },
+
+		ConfigureMux: accepts.configure,
 	}
 	o := &orderedLink{from: from, to: to, dialled: dialled, accepts: accepts}
 	go to.Accept(ctx, &orderedListener{Listener: l, conn: accepts})
--- a/internal/connection/linker/manager.go
+++ b/internal/connection/linker/manager.go
@@ -7,6 +7,7 @@
 	"sync/atomic"
 	"time"
 
+	"github.com/hashicorp/yamux"
 	"golang.org/x/time/rate"
 	"google.golang.org/protobuf/proto"
 
@@ -46,6 +47,8 @@
 		// FreeSlots returns the free and total slots of a pool owned here. They are
 		// sent in the End frame of each request.
 		FreeSlots func(pooler.Key) (free, slots int)
+		// ConfigureMux changes the configuration of yamux for a session. Nil means no change.
+		ConfigureMux func(*yamux.Config)
 
 		counters Counters
 		// serving is the number of requests received whose End frame is not written yet.
@@ -85,7 +88,7 @@
 }
 
 func (m *Manager) runAccepted(ctx context.Context, conn net.Conn) {
-	s, err := acceptSession(m.linkConn(conn, acceptedReadTimeout), m.Self())
+	s, err := m.acceptSession(conn)
 	if err != nil {
 		return
 	}
@@ -241,7 +244,7 @@
 	}
 	stop := context.AfterFunc(ctx, func() { conn.Close() })
 	defer stop()
-	s, err := openSession(m.linkConn(conn, 0), m.Self())
+	s, err := m.openSession(conn)
 	if err != nil {
 		conn.Close()
 		return err
@@ -268,8 +271,8 @@
 	}
 }
 
-func (m *Manager) linkConn(c net.Conn, readTimeout timekeeper.Millis) *linkConn {
-	return newLinkConn(c, m.Clock, &m.counters, readTimeout)
+func (m *Manager) muxConn(c net.Conn, readTimeout timekeeper.Millis) *muxConn {
+	return &muxConn{linkConn: newLinkConn(c, m.Clock, &m.counters, readTimeout)}
 }
 
 // DialAddress connects to a link address without starting a session.
--- a/internal/connection/linker/peer.go
+++ b/internal/connection/linker/peer.go
@@ -124,7 +124,7 @@
 	if err != nil {
 		return false
 	}
-	s, err := openSession(p.manager.linkConn(conn, 0), p.manager.Self())
+	s, err := p.manager.openSession(conn)
 	if err != nil {
 		conn.Close()
 		return false
--- a/internal/connection/linker/ping.go
+++ b/internal/connection/linker/ping.go
@@ -93,7 +93,7 @@
 	case now-p.lastUseTime() < activeLinkWindow:
 		return sinceReply >= p.manager.activePingInterval()
 	}
-	return now-s.linkConn.lastReadTime() >= idlePingInterval
+	return now-s.conn.lastReadTime() >= idlePingInterval
 }
 
 // activePingInterval returns the time between two pings of a link in use without pending
--- a/internal/connection/linker/session.go
+++ b/internal/connection/linker/session.go
@@ -50,12 +50,12 @@
 
 	// Session is one live connection to another daemon.
 	Session struct {
-		remote   registrar.Member
-		linkConn *linkConn
-		mux      *yamux.Session
-		control  net.Conn
-		writer   *framer.Writer
-		reader   *framer.Reader
+		remote  registrar.Member
+		conn    *muxConn
+		mux     *yamux.Session
+		control net.Conn
+		writer  *framer.Writer
+		reader  *framer.Reader
 		// lastDirectRequest is when the last request for an upstream owned here
 		// arrived, 0 for none.
 		lastDirectRequest atomic.Int64
@@ -92,7 +92,8 @@
 	return n, err
 }
 
-func yamuxConfig() *yamux.Config {
+// muxConfig returns the configuration of yamux.
+func (m *Manager) muxConfig() *yamux.Config {
 	c := yamux.DefaultConfig()
 	c.AcceptBacklog = acceptBacklog
 	// Peer.runPings replaces the keep-alive of yamux: it skips links with recent
@@ -100,12 +101,16 @@
 	c.EnableKeepAlive = false
 	c.ConnectionWriteTimeout = writeTimeout
 	c.LogOutput = io.Discard
+	if m.ConfigureMux != nil {
+		m.ConfigureMux(c)
+	}
 	return c
 }
 
 // openSession starts a session on a connection dialled here.
-func openSession(conn *linkConn, self registrar.Member) (*Session, error) {
-	mux, err := yamux.Client(conn, yamuxConfig())
+func (m *Manager) openSession(conn net.Conn) (*Session, error) {
+	c := m.muxConn(conn, 0)
+	mux, err := yamux.Client(c, m.muxConfig())
 	if err != nil {
 		return nil, eris.Wrap(err, "start yamux session")
 	}
@@ -114,12 +119,13 @@
 		mux.Close()
 		return nil, eris.Wrap(err, "open control stream")
 	}
-	return exchangeHello(newSession(conn, mux, stream), self)
+	return exchangeHello(newSession(c, mux, stream), m.Self())
 }
 
 // acceptSession starts a session on a connection dialled by the remote end.
-func acceptSession(conn *linkConn, self registrar.Member) (*Session, error) {
-	mux, err := yamux.Server(conn, yamuxConfig())
+func (m *Manager) acceptSession(conn net.Conn) (*Session, error) {
+	c := m.muxConn(conn, acceptedReadTimeout)
+	mux, err := yamux.Server(c, m.muxConfig())
 	if err != nil {
 		return nil, eris.Wrap(err, "start yamux session")
 	}
@@ -130,13 +136,13 @@
 		mux.Close()
 		return nil, eris.Wrap(err, "accept control stream")
 	}
-	return exchangeHello(newSession(conn, mux, stream), self)
+	return exchangeHello(newSession(c, mux, stream), m.Self())
 }
 
-func newSession(w *linkConn, mux *yamux.Session, stream net.Conn) *Session {
-	c := countingConn{stream, w.counters}
-	s := &Session{linkConn: w, mux: mux, control: c, writer: framer.NewWriter(c), reader: framer.NewReader(streamReader{c})}
-	s.recordReply(w.lastReadTime())
+func newSession(m *muxConn, mux *yamux.Session, stream net.Conn) *Session {
+	c := countingConn{stream, m.counters}
+	s := &Session{conn: m, mux: mux, control: c, writer: framer.NewWriter(c), reader: framer.NewReader(streamReader{c})}
+	s.recordReply(m.lastReadTime())
 	return s
 }
 
@@ -182,7 +188,7 @@
 }
 
 func (s *Session) runClose() {
-	s.linkConn.finish(s.mux.CloseChan())
+	s.conn.finish(s.mux.CloseChan())
 	s.abort()
 }
 
