linker: a reset after the end of a stream is told at once as well

Cause: only a reset without a close made the entry look for the End frame at once.

Change: each reset does. The entry then reads the rest of the stream, a window at most, gives the buffer of yamux back, and passes the rest on if the answer is whole.

--- a/internal/connection/linker/call.go
+++ b/internal/connection/linker/call.go
@@ -83,7 +83,7 @@
 }
 
 func (o *outboundCall) run(ctx context.Context) exchanger.Result {
-	for !o.stream.resetBeforeClose() {
+	for !o.stream.reset.Load() {
 		f, err := o.reader.Read()
 		if err != nil {
 			return o.linkLost(ctx)
@@ -96,8 +96,9 @@
 	return o.runAfterReset(ctx)
 }
 
-// runAfterReset handles a response whose stream was reset and not closed. Only a whole one is
-// passed on: a caller that reads slowly would otherwise learn late that the rest is missing.
+// runAfterReset handles the rest of a response whose stream was reset. It passes the rest on only if
+// the response is whole: a caller that reads slowly would otherwise learn late that its end is
+// missing.
 func (o *outboundCall) runAfterReset(ctx context.Context) exchanger.Result {
 	var rest []framer.Frame
 	for len(rest) == 0 || rest[len(rest)-1].Kind != framer.KindEnd {
@@ -107,6 +108,7 @@
 		}
 		rest = append(rest, framer.Frame{Kind: f.Kind, Body: bytes.Clone(f.Body)})
 	}
+	o.stream.Shrink()
 	for _, f := range rest {
 		if r, done := o.handleFrame(f); done {
 			return r
--- a/internal/connection/linker/reset.go
+++ b/internal/connection/linker/reset.go
@@ -25,9 +25,9 @@
 	// streamID identifies a stream of a session.
 	streamID uint32
 
-	// muxConn is the connection that yamux uses. A read of a stream that was reset fails, even if
-	// the stream holds an answer that arrived whole before. muxConn therefore turns the reset of a
-	// call sent from here into the end of its stream, which is read after all that was received.
+	// muxConn is the connection that yamux uses. yamux fails each read of a stream that was reset,
+	// even if the stream holds an answer that arrived whole before. muxConn therefore turns the reset
+	// of a call sent from here into the end of its stream, which is read after all that was received.
 	muxConn struct {
 		*linkConn
 		// header holds the first bytes of a header that is not complete yet, held their number.
@@ -44,9 +44,11 @@
 	// callStream is the stream of a call sent from here.
 	callStream struct {
 		*yamux.Stream
-		// closed and reset report whether the remote end has closed the stream, and whether it
-		// has reset it.
-		closed, reset atomic.Bool
+		// closed reports whether the remote end has closed the stream. It is used only by the
+		// goroutine that reads from the connection.
+		closed bool
+		// reset reports whether the remote end has reset the stream.
+		reset atomic.Bool
 	}
 )
 
@@ -105,14 +107,14 @@
 }
 
 // changeFlags returns the flags to pass on in place of those of a frame that closes or resets the
-// stream: a reset closes it, unless it is closed already, which yamux takes for an error of the
-// protocol.
+// stream. A reset closes the stream, if it is still open: yamux ends the session when a stream is
+// closed twice.
 func (s *callStream) changeFlags(flags uint16) uint16 {
 	if s.reset.Load() {
 		return flags &^ (yamuxFin | yamuxReset)
 	}
 	if flags&yamuxFin != 0 {
-		s.closed.Store(true)
+		s.closed = true
 	}
 	if flags&yamuxReset == 0 {
 		return flags
@@ -120,17 +122,12 @@
 	s.reset.Store(true)
 	// A write may wait for the window, which the remote end does not extend any more.
 	_ = s.SetWriteDeadline(time.Now())
-	if s.closed.Load() {
+	if s.closed {
 		return flags &^ yamuxReset
 	}
 	return flags&^yamuxReset | yamuxFin
 }
 
-// resetBeforeClose reports whether the remote end has reset the stream without closing it before.
-func (s *callStream) resetBeforeClose() bool {
-	return s.reset.Load() && !s.closed.Load()
-}
-
 // addCall begins to handle resets of a stream.
 func (c *muxConn) addCall(s *callStream) {
 	c.lock.Lock()
--- a/internal/connection/linker/reset_test.go
+++ b/internal/connection/linker/reset_test.go
@@ -88,21 +88,23 @@
 	}
 }
 
-// resetFrame returns the frame with which yamux resets a stream.
-func resetFrame(stream uint32) []byte {
+// flagFrame returns the frame with which yamux closes or resets a stream.
+func flagFrame(flag uint16, stream uint32) []byte {
 	b := make([]byte, yamuxHeaderBytes)
 	b[1] = yamuxWindowUpdate
-	binary.BigEndian.PutUint16(b[2:], yamuxReset)
+	binary.BigEndian.PutUint16(b[2:], flag)
 	binary.BigEndian.PutUint32(b[4:], stream)
 	return b
 }
 
-// resetInsteadOfClose makes one end of a link reset the stream victim where yamux closes the stream
-// closing.
-func resetInsteadOfClose(c *orderedConn, victim, closing uint32) {
+// replaceCloses makes one end of a link send other frames in place of those with which yamux closes
+// the streams given.
+func replaceCloses(c *orderedConn, frames map[uint32][]byte) {
 	c.replace = func(p []byte) []byte {
-		if isWindowUpdate(p, yamuxFin) && binary.BigEndian.Uint32(p[4:]) == closing {
-			return resetFrame(victim)
+		if isWindowUpdate(p, yamuxFin) {
+			if f := frames[binary.BigEndian.Uint32(p[4:])]; f != nil {
+				return f
+			}
 		}
 		return p
 	}
@@ -116,7 +118,7 @@
 		t.Run(fmt.Sprint(bodyBytes), func(t *testing.T) {
 			is := is.New(t)
 			dialled, accepts := newOrderedConn(), newOrderedConn()
-			resetInsteadOfClose(accepts, firstCallStream, firstCallStream)
+			replaceCloses(accepts, map[uint32][]byte{firstCallStream: flagFrame(yamuxReset, firstCallStream)})
 			handled := resetsHandled(accepts, dialled, 1)
 			o := connectInOrder(t, dialled, accepts)
 			o.to.Serve = answerWhole(is, bodyBytes, framer.ChunkBytes)
@@ -153,15 +155,22 @@
 }
 
 // TestResetBeforeEndOfAnswerEndsCall guards against a call that does not learn at once that the rest
-// of its answer is missing, also if its caller has yet to take much of what arrived. The owner has
-// reset the stream and not closed it.
+// of its answer is missing, also if its caller has yet to take much of what arrived. The owner resets
+// the stream, and may have closed it before without an End frame.
 func TestResetBeforeEndOfAnswerEndsCall(t *testing.T) {
 	const chunks = 3
-	for _, taken := range []int{chunks, 1} {
-		t.Run(fmt.Sprint(taken), func(t *testing.T) {
+	for _, c := range []struct {
+		taken  int
+		closed bool
+	}{{chunks, false}, {1, false}, {chunks, true}, {1, true}} {
+		t.Run(fmt.Sprint(c), func(t *testing.T) {
 			is := is.New(t)
 			dialled, accepts := newOrderedConn(), newOrderedConn()
-			resetInsteadOfClose(accepts, firstCallStream, firstCallStream+2)
+			frames := map[uint32][]byte{firstCallStream + 4: flagFrame(yamuxReset, firstCallStream)}
+			if c.closed {
+				frames[firstCallStream+2] = flagFrame(yamuxFin, firstCallStream)
+			}
+			replaceCloses(accepts, frames)
 			handled := resetsHandled(accepts, dialled, 1)
 			o := connectInOrder(t, dialled, accepts)
 			written, release := make(chan struct{}), make(chan struct{})
@@ -172,7 +181,7 @@
 			count := x.Write
 			last := make(chan struct{})
 			x.Write = func(p []byte) error {
-				if *body+len(p) == taken*framer.ChunkBytes {
+				if *body+len(p) == c.taken*framer.ChunkBytes {
 					close(last)
 					<-handled
 				}
@@ -182,9 +191,11 @@
 			<-written
 			<-last
 			o.to.Serve = answerWhole(is, 10, framer.ChunkBytes)
-			is.True(o.peer.Run(context.Background(), call(), false).Whole)
+			for range 2 {
+				is.True(o.peer.Run(context.Background(), call(), false).Whole)
+			}
 			is.Equal(<-result, exchanger.Result{Outcome: exchanger.Answered, Reason: exchanger.ReasonLinkLost})
-			is.Equal(*body, taken*framer.ChunkBytes)
+			is.Equal(*body, c.taken*framer.ChunkBytes)
 			is.Equal(o.from.Counters().Lost.Load(), uint64(1))
 			is.Equal(o.from.Counters().Dials.Load(), uint64(1))
 		})
@@ -198,7 +209,7 @@
 	is := is.New(t)
 	dialled, accepts := newOrderedConn(), newOrderedConn()
 	accepts.configure = resetEarly
-	resetInsteadOfClose(accepts, firstCallStream+2, firstCallStream+4)
+	replaceCloses(accepts, map[uint32][]byte{firstCallStream + 4: flagFrame(yamuxReset, firstCallStream+2)})
 	handled := resetsHandled(accepts, dialled, 1)
 	o := connectInOrder(t, dialled, accepts)
 	o.to.Serve = answerWhole(is, 180000, framer.ChunkBytes)
