--- a/internal/connection/linker/export_test.go
+++ b/internal/connection/linker/export_test.go
@@ -3,7 +3,6 @@
 import (
 	"net"
 
-	"github.com/gullvale/gullvale/pkg/timekeeper"
 	"github.com/hashicorp/yamux"
 )
 
@@ -13,7 +12,7 @@
 // NewMuxConn returns the connection that yamux uses on c.
 func NewMuxConn(c net.Conn) MuxConn {
 	var m Manager
-	return MuxConn{m.muxConn(c, timekeeper.Millis(0))}
+	return MuxConn{m.muxConn(c, 0)}
 }
 
 // AddCall adds the stream of a call.
