--- a/internal/connection/linker/reset_test.go
+++ b/internal/connection/linker/reset_test.go
@@ -294,8 +294,8 @@
 }
 
 // TestSenderOfBodyEndsWithCall guards against a goroutine that waits for ever to send the rest of a
-// request body: the owner has answered without reading it, and its reset of the stream does not wake
-// the sender.
+// request body: the owner answers without reading it and resets the stream, so that it never extends
+// the window.
 func TestSenderOfBodyEndsWithCall(t *testing.T) {
 	is := is.New(t)
 	const bodyBytes = 180000
