assigner: keys with large bodies have a home in each failure domain

Change: a route whose kind says that its bodies are large has one home for a key in each domain of the callers' region; a domain without upstreams uses the homes of the other, which know the keys. Keys that belong to another region keep one home there. Ruled out: all keys by domain (memory of upstreams), sizes learned by route (VMs would switch at different times), see docs/design/domain-homes.md.

--- a/internal/request/assigner/assigner.go
+++ b/internal/request/assigner/assigner.go
@@ -9,6 +9,7 @@
 	"github.com/gullvale/gullvale/internal/version/cataloger"
 	"github.com/gullvale/gullvale/internal/version/resolver"
 	"github.com/gullvale/gullvale/pkg/hasher"
+	"github.com/gullvale/gullvale/pkg/registrar"
 	"github.com/gullvale/gullvale/pkg/timekeeper"
 )
 
@@ -52,6 +53,10 @@
 		// Region is the region of the callers, Regions lists all regions.
 		Region  string
 		Regions []string
+		// Site is the failure domain of this daemon, and Domains the number of failure domains
+		// of its region. Without them no key has a home in each domain.
+		Site    registrar.Site
+		Domains int
 		// Announce sends new homes to the other daemons of the region. Nil means they are not
 		// announced.
 		Announce func([]Assignment)
@@ -240,6 +245,12 @@
 
 // candidates returns the upstreams that a key's hash prefers in the region it is assigned to.
 func (a *Assigner) candidates(key hasher.Hash, r Request, all []*cataloger.Upstream) []*cataloger.Upstream {
+	if r.Domain != "" {
+		inDomain := func(u *cataloger.Upstream) bool { return u.Site == r.Domain && r.Allowed(u.Site.Region()) }
+		if l := placer.CandidatesWhere(nil, key, all, inDomain); len(l) > 0 {
+			return l
+		}
+	}
 	var fit []*cataloger.Upstream
 	for _, u := range all {
 		if r.Allowed(u.Site.Region()) {
--- a/internal/request/assigner/demand.go
+++ b/internal/request/assigner/demand.go
@@ -5,6 +5,7 @@
 	"slices"
 
 	"github.com/gullvale/gullvale/internal/version/resolver"
+	"github.com/gullvale/gullvale/pkg/registrar"
 	"github.com/gullvale/gullvale/pkg/timekeeper"
 )
 
@@ -15,6 +16,9 @@
 		Route   string
 		// Objective is the time within which a response has its full value.
 		Objective timekeeper.Millis
+		// Domain is the failure domain in which the key has its home, "" if any domain of its
+		// region will do. Localize sets it.
+		Domain registrar.Site
 		// Allowed reports whether the request may run in a region.
 		Allowed func(region string) bool
 	}
--- a/internal/request/assigner/region.go
+++ b/internal/request/assigner/region.go
@@ -26,23 +26,39 @@
 // many keys as possible stay in the region of their callers, those of the tightest routes
 // first. Actual demand differs and changes; keys that overload a region are moved one by one.
 func (a *Assigner) regionSplit(r Request, all []*cataloger.Upstream) regionSplit {
-	slots, total := map[string]float64{}, 0.0
+	slots := map[string]float64{}
 	for _, u := range all {
 		slots[u.Site.Region()] += float64(max(u.Slots, 1))
-		total += float64(max(u.Slots, 1))
+	}
+	return splitBySlots(slots, a.Region, len(a.Regions), func(own float64) float64 {
+		if a.Without.Has(switcher.TightRoutes) {
+			return own
+		}
+		return a.demands[r.Service].localShare(r.Route, own)
+	})
+}
+
+// splitBySlots distributes the keys of the callers of one place, self, among places with the given
+// slots. self keeps as many as its slots carry if all of the count places have equal demand, and
+// the others take the rest in proportion to their spare slots. If self has too few slots, adjust
+// returns the fraction that it keeps.
+func splitBySlots(slots map[string]float64, self string, count int, adjust func(float64) float64) regionSplit {
+	total := 0.0
+	for _, n := range slots {
+		total += n
 	}
 	if total == 0 {
 		return nil
 	}
-	fairShare := 1 / float64(max(len(a.Regions), 1))
+	fairShare := 1 / float64(max(count, 1))
 	spare, totalSpare := map[string]float64{}, 0.0
 	for name, n := range slots {
 		spare[name] = max(n/total-fairShare, 0)
 		totalSpare += spare[name]
 	}
-	own := min(slots[a.Region]/total/fairShare, 1)
-	if own > 0 && own < 1 && totalSpare > 0 && !a.Without.Has(switcher.TightRoutes) {
-		own = a.demands[r.Service].localShare(r.Route, own)
+	own := min(slots[self]/total/fairShare, 1)
+	if own > 0 && own < 1 && totalSpare > 0 {
+		own = adjust(own)
 	}
 	var s regionSplit
 	for name := range slots {
@@ -50,7 +66,7 @@
 		if totalSpare > 0 {
 			fraction = (1 - own) * spare[name] / totalSpare
 		}
-		if name == a.Region {
+		if name == self {
 			fraction += own
 		}
 		if fraction > 0 {
--- a/internal/request/dispatcher/choose.go
+++ b/internal/request/dispatcher/choose.go
@@ -106,7 +106,7 @@
 // homeRequest returns the properties of the request that determine where its key may have its
 // home.
 func (x *exchange) homeRequest() assigner.Request {
-	return assigner.Request{Service: x.service, Route: x.route.Name, Objective: x.route.Objective, Allowed: x.allowsRegion}
+	return assigner.Request{Service: x.service, Route: x.route.Name, Objective: x.route.Objective, Domain: x.homeDomain, Allowed: x.allowsRegion}
 }
 
 // recordChoice records the chosen upstream and the load that was known of it.
--- a/internal/request/dispatcher/exchange.go
+++ b/internal/request/dispatcher/exchange.go
@@ -18,6 +18,7 @@
 	"github.com/gullvale/gullvale/internal/version/matcher"
 	"github.com/gullvale/gullvale/internal/version/resolver"
 	"github.com/gullvale/gullvale/pkg/hasher"
+	"github.com/gullvale/gullvale/pkg/registrar"
 	"github.com/gullvale/gullvale/pkg/timekeeper"
 )
 
@@ -96,6 +97,8 @@
 	key       hasher.Hash
 	sharedKey hasher.Hash
 
+	// homeDomain is the failure domain to which key belongs, "" if to none.
+	homeDomain registrar.Site
 	// expiresAt is when the entry gives up on the request, by the monotonic clock.
 	expiresAt timekeeper.Millis
 	// deadline is when the caller stops waiting.
--- a/internal/request/dispatcher/identify.go
+++ b/internal/request/dispatcher/identify.go
@@ -80,11 +80,16 @@
 // that key is in a region where the request may not run: then it is one that only
 // organisations with the same regions share. A common home would move back and forth between
 // their requests.
+//
+// A key of a route with large bodies may have a home in each failure domain.
 func (x *exchange) selectHomeKey(all []*cataloger.Upstream) {
-	x.key = x.sharedKey
+	x.key, x.homeDomain = x.sharedKey, ""
 	if b := x.organisation.RegionsHash(); b != 0 && x.d.Homes.HomeNotAllowed(x.key, all, x.allowsRegion) {
 		x.key = hasher.Mix(x.key, b)
 	}
+	if x.route.LargeBodies {
+		x.key, x.homeDomain = x.d.Homes.Localize(x.key, x.homeRequest(), all)
+	}
 }
 
 // setOrganisation sets the header field that names the organisation to the upstream, and drops
--- a/internal/version/matcher/config.go
+++ b/internal/version/matcher/config.go
@@ -62,6 +62,9 @@
 		// Sticky reports that an upstream handles a key faster if it has handled it
 		// recently.
 		Sticky bool
+		// LargeBodies reports that requests or responses have large bodies, which should not
+		// cross between failure domains.
+		LargeBodies bool
 		// Public reports that requests need no credential.
 		Public bool
 
