placer, tracker, estimator: expected times where upstreams report their pace

Cause: load reports of four figures were dropped, so the queues of such upstreams were unknown, and a queue on a host that is slow for a moment counted as any other. Change: reports are read by their first four figures; one that can't be read leaves what was known and is counted (load_reports). The tracker keeps the pace, which fades within 600 ms, and the shortest dial; the estimator learns run times by route. The placer compares expected times. Upstreams that report no pace are judged by counts, as before.

--- a/internal/connection/tracker/set.go
+++ b/internal/connection/tracker/set.go
@@ -28,12 +28,13 @@
 	if v, ok := s.upstreams.Load(i); ok {
 		return v.(*Upstream)
 	}
-	v, _ := s.upstreams.LoadOrStore(i, &Upstream{
+	created := &Upstream{
 		clock:   s.Clock,
-		Pool:    &sender.Pool{Address: u.Address, Dial: s.Dial, Clock: s.Clock, Count: s.counter(u)},
 		Direct:  Path{clock: s.Clock},
 		Relayed: Path{clock: s.Clock},
-	})
+	}
+	created.Pool = &sender.Pool{Address: u.Address, Dial: created.timedDial(s.Dial), Clock: s.Clock, Count: s.counter(u)}
+	v, _ := s.upstreams.LoadOrStore(i, created)
 	return v.(*Upstream)
 }
 
--- a/internal/connection/tracker/upstream.go
+++ b/internal/connection/tracker/upstream.go
@@ -2,6 +2,7 @@
 
 import (
 	"sync"
+	"sync/atomic"
 
 	"golang.org/x/time/rate"
 
@@ -22,6 +23,10 @@
 	// the requests in the report complete.
 	reportLifetime = 1000 * timekeeper.Millis(1)
 
+	// paceLifetime is the age at which a reported pace counts as the usual one. The load of
+	// a shared host changes within fractions of a second.
+	paceLifetime = 600 * timekeeper.Millis(1)
+
 	// failureWeight is the weight of the latest outcome in the moving average of
 	// failures. An upstream is excluded while the average is above
 	// failureThreshold. With these values three consecutive failures exceed it.
@@ -37,6 +42,9 @@
 		Running int
 		Waiting int
 		Slots   int
+		// Pace is how much longer work takes than usual on the upstream's host, such as 2.5
+		// for a slow one. 0 means that the upstream does not report it.
+		Pace float64
 	}
 
 	// Upstream is the state of one incarnation. It is created by Set.StateOf.
@@ -45,13 +53,20 @@
 		// Direct is the way over connections of this VM, Relayed the one over other VMs.
 		Direct, Relayed Path
 
-		clock    timekeeper.Clock
+		clock timekeeper.Clock
+		// roundTrip is the shortest time in milliseconds that a dial took, 0 before the first.
+		roundTrip atomic.Int64
+
 		lock     sync.Mutex
 		inFlight int
 
 		report     Report
 		reportedAt timekeeper.Millis
 
+		// pace is the last reported pace, 0 if there was none, and pacedAt its time.
+		pace    float64
+		pacedAt timekeeper.Millis
+
 		replaced bool
 
 		limiter *rate.Limiter
@@ -78,6 +93,10 @@
 
 		FailShare:  p.failShare,
 		ErrorShare: p.errorShare,
+
+		Pace:      u.currentPace(now),
+		Paced:     u.pace > 0,
+		RoundTrip: timekeeper.Millis(u.roundTrip.Load()),
 	}
 }
 
@@ -92,6 +111,16 @@
 	return max(load, float64(u.inFlight))
 }
 
+// currentPace returns the reported pace, which fades to the usual one with its age. The caller
+// holds the lock.
+func (u *Upstream) currentPace(now timekeeper.Millis) float64 {
+	age := now - u.pacedAt
+	if u.pace <= 0 || age >= paceLifetime {
+		return 1
+	}
+	return 1 + (u.pace-1)*float64(paceLifetime-age)/float64(paceLifetime)
+}
+
 // Begin counts a request that is about to be sent over path, and excludes a failing upstream
 // from further requests for exclusionPeriod.
 func (u *Upstream) Begin(path *Path) {
@@ -114,6 +143,9 @@
 	u.lock.Lock()
 	defer u.lock.Unlock()
 	u.report, u.reportedAt = r, now
+	if r.Pace > 0 {
+		u.pace, u.pacedAt = r.Pace, now
+	}
 }
 
 // MarkReplaced records that another incarnation responds at the address, and reports
--- a/internal/process/explainer/line.go
+++ b/internal/process/explainer/line.go
@@ -68,6 +68,10 @@
 		ElapsedMillis float64 `json:"ms"`
 		Load          float64 `json:"load"`
 		OwnRequests   int     `json:"own"`
+		// Pace is how much longer than usual work took on the upstream's host, 0 if it does
+		// not report that, and Expected the expected time of the response in milliseconds.
+		Pace     float64 `json:"pace"`
+		Expected float64 `json:"expected"`
 		// Objective is the target latency, PipelineWait how long the request waited for
 		// others of its connection and SentAfter how long after its arrival it was first
 		// sent, all in milliseconds.
--- a/internal/process/explainer/text.go
+++ b/internal/process/explainer/text.go
@@ -90,6 +90,9 @@
 		return
 	}
 	printf("upstream %s at %s, %.3g running and waiting as reported, %d of them this VM's own", q.Upstream, q.Site, q.Load, q.OwnRequests)
+	if q.Pace > 0 {
+		printf("work took %.3g times as long as usual on its host; a response was expected after %g ms", q.Pace, q.Expected)
+	}
 	e.writePlacement(printf)
 	if u := e.Upstream; u != nil {
 		printf("last heard of it %s before: %s", timeBefore(q, u), u.upstreamText(q.Upstream))
--- a/internal/process/fronter/fronter.go
+++ b/internal/process/fronter/fronter.go
@@ -517,6 +517,9 @@
 	if e.Helper != "" {
 		fields["helper"] = e.Helper
 	}
+	if e.Pace > 0 {
+		fields["pace"], fields["expected"] = e.Pace, int64(e.Expected)
+	}
 	if e.Organisation != "" {
 		fields["organisation"] = e.Organisation
 	}
--- a/internal/process/switcher/mechanisms.go
+++ b/internal/process/switcher/mechanisms.go
@@ -66,6 +66,9 @@
 	// CountedLimits makes limit allocators share out organisations' limits. Without it, each
 	// VM uses an equal part of them.
 	CountedLimits
+	// ExpectedTimes compares upstreams that report their pace by the expected time of the
+	// response. Without it, their requests are counted.
+	ExpectedTimes
 	// DomainHomes gives the keys of routes with large bodies a home in each failure domain of
 	// the callers' region. Without it, they have one home in the region, like other keys.
 	DomainHomes
@@ -93,6 +96,7 @@
 	RelayedChanges:    "relayed-changes",
 	Strength:          "strength",
 	CountedLimits:     "counted-limits",
+	ExpectedTimes:     "expected-times",
 	DomainHomes:       "domain-homes",
 }
 
--- a/internal/request/dispatcher/answer.go
+++ b/internal/request/dispatcher/answer.go
@@ -95,6 +95,9 @@
 		return x.discardResponse(t, "answer broke off")
 	}
 	x.path(t).RecordResponse(failed)
+	if success := resp.Status < http.StatusMultipleChoices; success {
+		x.recordRun()
+	}
 	x.copyHeader(resp)
 	if whole {
 		x.clearSuspect(resp)
--- a/internal/request/dispatcher/choose.go
+++ b/internal/request/dispatcher/choose.go
@@ -54,7 +54,8 @@
 		// to the number of upstreams of the service.
 		state := x.state(home)
 		state.KnowsKey = true
-		if x.d.placer().Check(state, x.hasTopRank()) == placer.Accepts && x.acquireWarmupRoom(home) {
+		p := x.placer()
+		if p.Check(state, x.hasTopRank()) == placer.Accepts && p.InTime(state) && x.acquireWarmupRoom(home) {
 			x.recordChoice(home, state)
 			x.recordPlacement(home)
 			return home, placer.Accepts
@@ -113,6 +114,7 @@
 func (x *exchange) recordChoice(u *cataloger.Upstream, s placer.State) {
 	x.decision.Upstream, x.decision.Site = u.ID, u.Site
 	x.decision.Load, x.decision.Own = s.Reported, s.Own
+	x.recordExpected(s)
 }
 
 // acquireWarmupRoom takes warm-up room for the request if the upstream is cold, and reports
@@ -128,9 +130,9 @@
 // runs there without a move.
 func (x *exchange) pickCandidate(list []*cataloger.Upstream, states []placer.State) (int, placer.Verdict) {
 	if !x.hasHome() {
-		return x.d.placer().Choose(states, x.hasTopRank())
+		return x.placer().Choose(states, x.hasTopRank())
 	}
-	i, verdict, move := x.d.placer().ChooseWithHome(states, x.hasTopRank())
+	i, verdict, move := x.placer().ChooseWithHome(states, x.hasTopRank())
 	if !move {
 		return i, verdict
 	}
--- a/internal/request/dispatcher/dispatcher.go
+++ b/internal/request/dispatcher/dispatcher.go
@@ -10,8 +10,8 @@
 	"github.com/gullvale/gullvale/internal/process/measurer"
 	"github.com/gullvale/gullvale/internal/process/switcher"
 	"github.com/gullvale/gullvale/internal/request/assigner"
+	"github.com/gullvale/gullvale/internal/request/estimator"
 	"github.com/gullvale/gullvale/internal/request/limiter"
-	"github.com/gullvale/gullvale/internal/request/placer"
 	"github.com/gullvale/gullvale/internal/request/quarantiner"
 	"github.com/gullvale/gullvale/internal/request/relayer"
 	"github.com/gullvale/gullvale/internal/version/authenticator"
@@ -97,6 +97,8 @@
 		Limits *limiter.Limiter
 		// Retries holds the retry budget.
 		Retries *Retries
+		// RunTimes holds the run times of requests seen by this daemon.
+		RunTimes estimator.Estimator
 		// StopsAt returns when this process stops, or 0 if it was not asked to stop.
 		StopsAt func() timekeeper.Millis
 		// AwaitReady waits, for a bounded time, until the entry has the state that it needs to
@@ -165,6 +167,10 @@
 		// Load and Own are the load of Upstream that was known when it was chosen.
 		Load float64
 		Own  int
+		// Pace is how much longer than usual work took on Upstream's host, 0 if it does not
+		// report that. Expected is the time until the response that was then expected.
+		Pace     float64
+		Expected timekeeper.Millis
 		// Helper is the member to which the last attempt was handed over, "" if it was sent
 		// directly.
 		Helper string
@@ -208,11 +214,6 @@
 	return route != nil && route.Kind.Retryable()
 }
 
-// placer returns a placer that uses the mechanisms that are switched on.
-func (d *Dispatcher) placer() placer.Placer {
-	return placer.Placer{Without: d.Without}
-}
-
 func (d *Dispatcher) configLag() timekeeper.Millis {
 	if d.ConfigLag == nil {
 		return 0
--- a/internal/request/dispatcher/exchange.go
+++ b/internal/request/dispatcher/exchange.go
@@ -96,9 +96,9 @@
 	// organisations share.
 	key       hasher.Hash
 	sharedKey hasher.Hash
-
 	// homeDomain is the failure domain to which key belongs, "" if to none.
 	homeDomain registrar.Site
+
 	// expiresAt is when the entry gives up on the request, by the monotonic clock.
 	expiresAt timekeeper.Millis
 	// deadline is when the caller stops waiting.
@@ -137,6 +137,10 @@
 	sawPause bool
 	// mayHaveRun means that an attempt may have run.
 	mayHaveRun bool
+	// chosen is the state of the upstream when it was chosen for the last attempt, and sentAt
+	// the time of that attempt.
+	chosen placer.State
+	sentAt timekeeper.Millis
 	// homePlacement is the home of the request's key and the reason for it.
 	homePlacement assigner.Placement
 
--- a/internal/request/dispatcher/send.go
+++ b/internal/request/dispatcher/send.go
@@ -47,6 +47,7 @@
 	}
 	x.decision.Helper = ""
 	began := x.d.Clock.Now()
+	x.sentAt = began
 	resp, abandoned, err := x.d.sendDirect(x.r.Context(), t, x.newRequest(u, t), x.retryable())
 	x.recordReach(u, began, err)
 	switch {
@@ -173,8 +174,10 @@
 // recordLoad records the load that the upstream reports in a response.
 func (x *exchange) recordLoad(t *tracker.Upstream, resp *sender.Response) {
 	if v := resp.Header.Get(x.d.Fields.Load); v != "" && x.d.ParseLoad != nil {
-		if r, ok := x.d.ParseLoad(v); ok {
+		r, ok := x.d.ParseLoad(v)
+		if ok {
 			t.RecordLoad(r)
 		}
+		x.measureReport(r, ok)
 	}
 }
--- a/internal/request/placer/place.go
+++ b/internal/request/placer/place.go
@@ -4,6 +4,7 @@
 	"github.com/gullvale/gullvale/internal/process/switcher"
 	"github.com/gullvale/gullvale/internal/version/cataloger"
 	"github.com/gullvale/gullvale/pkg/hasher"
+	"github.com/gullvale/gullvale/pkg/timekeeper"
 )
 
 const (
@@ -48,6 +49,11 @@
 	Cold      Verdict = "cold"
 	QueueFull Verdict = "line"
 	Attempted Verdict = "tried"
+	// TooLate means that the response is expected after the request is given up.
+	TooLate Verdict = "late"
+	// Slow means that the response is expected past the objective, and that of another
+	// upstream within it.
+	Slow Verdict = "slow"
 )
 
 type (
@@ -55,6 +61,9 @@
 	Placer struct {
 		// Without is the set of disabled mechanisms.
 		Without switcher.Set
+		// Timing makes the Placer compare times where upstreams report their pace. Its zero
+		// value makes it count requests.
+		Timing Timing
 	}
 
 	// Verdict is the reason an upstream does not take a request, or Accepts if it does.
@@ -89,6 +98,12 @@
 		Cold bool
 		// Attempted reports that this request already had an attempt at the upstream.
 		Attempted bool
+		// Pace is how much longer work takes than usual on the upstream's host, 0 if that is
+		// not known. Paced reports that the upstream reports its pace.
+		Pace  float64
+		Paced bool
+		// RoundTrip is the time that a request and its response spend on the way.
+		RoundTrip timekeeper.Millis
 	}
 )
 
@@ -159,11 +174,6 @@
 // Check returns Accepts if the upstream takes a request now, and otherwise the reason it does
 // not. urgent marks a request of the most urgent rank of its service.
 func (p Placer) Check(s State, urgent bool) Verdict {
-	queueFactor := normalQueueFactor
-	if urgent || p.Without.Has(switcher.Rank) {
-		queueFactor = urgentQueueFactor
-	}
-	slots := float64(max(s.Slots, 1))
 	switch {
 	case s.Attempted:
 		return Attempted
@@ -175,8 +185,10 @@
 		return Paused
 	case s.excluded() && !p.Without.Has(switcher.FailureShares):
 		return Failing
-	case s.Reported > queueFactor*slots && !p.Without.Has(switcher.QueueLimits):
+	case p.queueFull(s, urgent) && !p.Without.Has(switcher.QueueLimits):
 		return QueueFull
+	case p.tooLate(s):
+		return TooLate
 	case s.Cold:
 		return Cold
 	}
@@ -191,7 +203,7 @@
 // upstreams that ran the key before does not pay off either.
 func (p Placer) ChooseWithHome(states []State, urgent bool) (i int, first Verdict, move bool) {
 	i, first = p.Choose(states, urgent)
-	if i <= 0 || !first.overloaded() {
+	if i <= 0 || first == Slow || !first.overloaded() {
 		return i, first, false
 	}
 	if states[i].idle() {
@@ -204,7 +216,7 @@
 }
 
 // Choose returns the index of the first state that takes a request, or -1, and the verdict on
-// states[0]. A failing upstream is chosen if no other is left: when all of them refuse half of
+// states[0], which is Slow if another one takes the request for that reason alone. A failing upstream is chosen if no other is left: when all of them refuse half of
 // their requests, every second request is still served.
 func (p Placer) Choose(states []State, urgent bool) (int, Verdict) {
 	first, failing := Gone, -1
@@ -213,6 +225,11 @@
 		if i == 0 {
 			first = v
 		}
+		if i == 0 && v == Accepts {
+			if soonest := p.soonest(states, urgent); soonest > 0 {
+				return soonest, Slow
+			}
+		}
 		if v == Accepts && (first != Failing || s.FailShare < failShareRatio*states[0].FailShare) {
 			return i, first
 		}
