heartbeater: members get what changed in the table, and changes go once into a domain

Change: a lead's table has versions; a member gets the rows that changed since its own. Relays and homes go once into each other domain, where a living VM that says so in its row hands them on.

--- a/internal/process/heartbeater/heartbeater.go
+++ b/internal/process/heartbeater/heartbeater.go
@@ -89,6 +89,8 @@
 		// Cut whether it reaches none itself.
 		Relays bool
 		Cut    bool
+		// HandsOn reports whether the member hands on datagrams in its failure domain.
+		HandsOn bool
 		// ConfigVersion is the version of the configuration in force, 0 if there is none.
 		ConfigVersion uint64
 	}
@@ -152,7 +154,12 @@
 		OnMember func(Member)
 		// OnTraffic is called with the size of each datagram sent or received. May be nil.
 		OnTraffic func(Traffic)
-		Clock     timekeeper.Clock
+		// WholeTables makes a leader send its whole table of members at each change, not the
+		// difference.
+		WholeTables bool
+		// NoHandOn makes this member send to each member of its region by itself.
+		NoHandOn bool
+		Clock    timekeeper.Clock
 
 		lock    sync.Mutex
 		members map[string]*knownMember
@@ -160,6 +167,10 @@
 		sites map[string]registrar.Site
 		self  Member
 		round int
+		// table records the changes of the members while this one leads.
+		table tableChanges
+		// known is the version of the leader's table that this member has.
+		known knownTable
 	}
 
 	// knownMember is what this member knows of another.
@@ -178,7 +189,10 @@
 		lastHeartbeat timekeeper.Millis
 		// lastLeading is when its last heartbeat as a leader was received, storeResponded
 		// the time at which, by that heartbeat, the store had last responded to it.
-		lastLeading    timekeeper.Millis
+		lastLeading timekeeper.Millis
+		// mismatches counts the member's heartbeats in a row by which it has the latest version
+		// of this leader's table and another digest.
+		mismatches     int
 		storeResponded timekeeper.Millis
 	}
 )
@@ -255,6 +269,9 @@
 	if !decoded {
 		return false
 	}
+	if d.HandOn {
+		defer b.handOn(&d)
+	}
 	if d.Beat != nil && d.Beat.From != nil {
 		b.handleBeat(d.Beat)
 		b.syncSuspects(d.Beat)
@@ -293,9 +310,12 @@
 	m := &Beat{From: row(self, 0), Following: b.following(self)}
 	if k := b.leader(self); k != nil {
 		m.Lead, m.Digest = k.Name, b.digest(false)
+		m.Table, m.TableOf = b.known.version, b.known.leader
 		return m
 	}
 	m.Lead, m.Leading, m.Digest, m.Marks = self.Name, true, b.digest(true), watermarks
+	b.recordTable(m.Digest)
+	m.Table = b.table.version
 	if b.StoreAge != nil {
 		m.StaleMillis = uint32(min(b.StoreAge(), maxReportedStoreAge))
 	}
@@ -356,8 +376,13 @@
 		k.lastLeading = now
 		k.storeResponded = now - timekeeper.Millis(m.StaleMillis)
 	}
+	if m.Changed {
+		b.recordChanges(m, now)
+		return k
+	}
 	if m.Full {
 		b.expireUnheard(now)
+		b.recordVersion(m)
 	}
 	for _, r := range m.Rows {
 		b.recordRow(r, now-timekeeper.Millis(r.AgeMillis))
@@ -386,6 +411,7 @@
 	if m.Leading {
 		if m.Digest == b.digest(false) {
 			b.confirmLiveness(b.Clock.Now())
+			b.recordVersion(m)
 		}
 		return nil
 	}
@@ -393,6 +419,7 @@
 		return nil
 	}
 	reply := b.newBeat(b.self, watermarks)
-	reply.Rows, reply.Full, reply.Reply = b.rows(""), true, true
+	reply.Reply = true
+	b.fillTable(reply, m, k)
 	return reply
 }
--- a/internal/process/heartbeater/heartbeater_test.go
+++ b/internal/process/heartbeater/heartbeater_test.go
@@ -29,8 +29,10 @@
 
 	member struct {
 		*heartbeater.Heartbeater
-		self    heartbeater.Member
-		dead    bool
+		self heartbeater.Member
+		dead bool
+		// deaf means that the member gets no datagrams.
+		deaf    bool
 		relayed []heartbeater.Changes
 		found   []quarantiner.Suspect
 		catalog *cataloger.Catalog
@@ -51,7 +53,7 @@
 		OnChanges: func(c heartbeater.Changes) { m.relayed = append(m.relayed, c) },
 		Send: func(to string, d []byte) {
 			r := n.members[to]
-			if m.dead || r == nil || r.dead || n.random.Float64() < n.loss {
+			if m.dead || r == nil || r.dead || r.deaf || n.random.Float64() < n.loss {
 				return
 			}
 			r.Receive(m.self.Beats, d)
--- a/internal/process/heartbeater/member.go
+++ b/internal/process/heartbeater/member.go
@@ -16,10 +16,15 @@
 // must hold the lock.
 func (b *Heartbeater) expireUnheard(now timekeeper.Millis) {
 	for _, k := range b.members {
-		if now-k.lastHeartbeat >= MemberTimeout || k.lastHeartbeat == 0 {
-			k.lastAlive = min(k.lastAlive, now-MemberTimeout)
-			k.confirmed = k.lastAlive
-		}
+		k.expireUnheard(now)
+	}
+}
+
+// expireUnheard marks the member as dead if it sent no heartbeat to this one within MemberTimeout.
+func (k *knownMember) expireUnheard(now timekeeper.Millis) {
+	if now-k.lastHeartbeat >= MemberTimeout || k.lastHeartbeat == 0 {
+		k.lastAlive = min(k.lastAlive, now-MemberTimeout)
+		k.confirmed = k.lastAlive
 	}
 }
 
--- a/internal/process/heartbeater/relay.go
+++ b/internal/process/heartbeater/relay.go
@@ -12,9 +12,8 @@
 		b.lock.Unlock()
 		return
 	}
-	to := b.regionTargets(self.Site.Region())
 	b.lock.Unlock()
-	b.send(to, &Datagram{Relay: relayOf(c)})
+	b.sendRegion(self, &Datagram{Relay: relayOf(c)})
 }
 
 // Ask asks the leader of the region for the changes of a kind after a revision. It reports
@@ -61,11 +60,7 @@
 
 // Announce sends homes of keys to the other members of the region.
 func (b *Heartbeater) Announce(list []assigner.Assignment) {
-	self := b.Self()
-	b.lock.Lock()
-	to := b.regionTargets(self.Site.Region())
-	b.lock.Unlock()
-	b.send(to, &Datagram{Homes: homesOf(list)})
+	b.sendRegion(b.Self(), &Datagram{Homes: homesOf(list)})
 }
 
 // broadcast sends near to the other members of this region, and far to the first members of
--- a/internal/process/heartbeater/wire.go
+++ b/internal/process/heartbeater/wire.go
@@ -89,6 +89,7 @@
 		ConfigVersion: m.ConfigVersion,
 		Relays:        m.Relays,
 		Cut:           m.Cut,
+		HandsOn:       m.HandsOn,
 	}
 }
 
@@ -106,5 +107,6 @@
 		ConfigVersion: r.ConfigVersion,
 		Relays:        r.Relays,
 		Cut:           r.Cut,
+		HandsOn:       r.HandsOn,
 	}
 }
--- a/internal/process/switcher/mechanisms.go
+++ b/internal/process/switcher/mechanisms.go
@@ -72,7 +72,12 @@
 	// DomainHomes gives the keys of routes with large bodies a home in each failure domain of
 	// the callers' region. Without it, they have one home in the region, like other keys.
 	DomainHomes
-
+	// MemberChanges makes a leader tell its members what changed in its table of members.
+	// Without it, each change sends them the whole table.
+	MemberChanges
+	// HandOn sends changes and homes once into each failure domain of the region, where a VM
+	// hands them on. Without it, they are sent to each VM.
+	HandOn
 	mechanismCount
 )
 
@@ -98,6 +103,8 @@
 	CountedLimits:     "counted-limits",
 	ExpectedTimes:     "expected-times",
 	DomainHomes:       "domain-homes",
+	MemberChanges:     "member-changes",
+	HandOn:            "hand-on",
 }
 
 type (
