dispatcher, relayer: requests to other regions go through a VM there, not over a dial

Change: an attempt at an upstream of another region to which no connection is open goes through a VM of that region, the same one for the requests of a VM to a domain.

--- a/internal/connection/sender/pool.go
+++ b/internal/connection/sender/pool.go
@@ -28,6 +28,9 @@
 		Clock timekeeper.Clock
 		// Count, if not nil, counts the bytes of all connections.
 		Count Counter
+		// KeepAlive is how long an idle connection is kept if the other end announces no
+		// keep-alive timeout. 0 means defaultIdle.
+		KeepAlive timekeeper.Millis
 
 		lock   sync.Mutex
 		idle   []*conn
@@ -90,13 +93,31 @@
 	}
 }
 
+// HasOpen reports whether a connection is open and idle, for less than maxIdle if that is set. The
+// next request may find it taken or closed all the same.
+func (p *Pool) HasOpen(maxIdle timekeeper.Millis) bool {
+	now := p.Clock.Now()
+	p.lock.Lock()
+	defer p.lock.Unlock()
+	n := len(p.idle)
+	if n == 0 {
+		return false
+	}
+	c := p.idle[n-1]
+	return c.withinKeepAlive(now) && (maxIdle == 0 || now-c.idleSince < maxIdle)
+}
+
 func (p *Pool) dial(ctx context.Context) (*conn, error) {
 	p.dials.Add(1)
 	c, err := p.Dial(ctx, p.Address)
 	if err != nil {
 		return nil, err
 	}
-	return newConn(c, p.Count), nil
+	k := newConn(c, p.Count)
+	if p.KeepAlive > 0 {
+		k.keepAlive = p.KeepAlive
+	}
+	return k, nil
 }
 
 // Check opens a connection and keeps it for the next request. It distinguishes a lost
--- a/internal/process/explainer/explain.go
+++ b/internal/process/explainer/explain.go
@@ -91,6 +91,8 @@
 	{"line", "too many requests waited at the key's upstream"},
 	{"cold", "the key's upstream is cold and its warm-up rate was used up"},
 	{"failing", "too many recent requests at the key's upstream failed"},
+	{"late", "no upstream was expected to answer before the request would have been given up: rejected at once"},
+	{"slow", "the key's upstream was expected to answer past the objective, and another one within it"},
 	{"down", "the key's upstream could not be reached recently"},
 	{"gone", "no upstream of the service accepts requests: see which are leaving or evacuated"},
 	{"retry budget used up", "no more retries were allowed at that time"},
--- a/internal/process/fronter/fronter.go
+++ b/internal/process/fronter/fronter.go
@@ -119,6 +119,9 @@
 		// Relay hands requests over to other members while this one reaches no upstream. Nil
 		// disables that.
 		Relay *relayer.Relayer
+		// RelayFar makes requests to upstreams of other regions go through members there while no
+		// connection is open.
+		RelayFar bool
 		// IsMember reports whether a request from an address was handed over by the living
 		// member that it names.
 		IsMember func(name, address string) bool
@@ -180,6 +183,7 @@
 		Upstreams:         f.upstreams,
 		Reach:             f.prober,
 		Relay:             o.Relay,
+		RelayFar:          o.RelayFar,
 		IsMember:          o.IsMember,
 		Region:            o.Site.Region(),
 		Strength:          o.Strength,
--- a/internal/process/switcher/mechanisms.go
+++ b/internal/process/switcher/mechanisms.go
@@ -78,6 +78,10 @@
 	// HandOn sends changes and homes once into each failure domain of the region, where a VM
 	// hands them on. Without it, they are sent to each VM.
 	HandOn
+	// FarRelays sends requests to upstreams of other regions through a VM there while no
+	// connection is open. Without it, each VM dials them.
+	FarRelays
+
 	mechanismCount
 )
 
@@ -105,6 +109,7 @@
 	DomainHomes:       "domain-homes",
 	MemberChanges:     "member-changes",
 	HandOn:            "hand-on",
+	FarRelays:         "far-relays",
 }
 
 type (
--- a/internal/request/dispatcher/choose.go
+++ b/internal/request/dispatcher/choose.go
@@ -22,11 +22,15 @@
 	if !x.resolve() {
 		return nil, placer.Gone
 	}
-	x.helper, x.sawDown = nil, false
+	x.helper, x.helperNear, x.sawDown = nil, false, false
 	if x.d.isCut() || len(x.unreached) > 0 && x.d.Reach != nil && x.d.Reach.Doubtful() {
 		x.helper = x.chooseHelper()
 	}
 	u, verdict := x.chooseOnPath()
+	if u != nil && x.helper == nil {
+		x.helper = x.chooseNear(u)
+		x.helperNear = x.helper != nil
+	}
 	if u != nil || x.helper != nil || !x.sawDown {
 		return u, verdict
 	}
@@ -195,7 +199,8 @@
 	s := t.State(u, x.path(t))
 	x.sawPause = x.sawPause || s.Paused
 	x.sawDown = x.sawDown || s.Down
-	s.Attempted = slices.Contains(x.attempted, u.Incarnation()) && !x.refusedWithCapacity(u, s) || x.failedToDial(u)
+	again := x.lostWithHelper == u.Incarnation() || x.refusedWithCapacity(u, s)
+	s.Attempted = slices.Contains(x.attempted, u.Incarnation()) && !again || x.failedToDial(u)
 	if !s.Attempted && u.Cold(x.d.Clock.Now()) {
 		s.Cold = x.d.HasWarmupRoom == nil || !x.d.HasWarmupRoom(u, t)
 	}
--- a/internal/request/dispatcher/dispatcher.go
+++ b/internal/request/dispatcher/dispatcher.go
@@ -68,6 +68,9 @@
 		// Relay hands requests over to members that reach upstreams, while this one does not.
 		// Nil disables it, also for requests of others.
 		Relay *relayer.Relayer
+		// RelayFar makes requests to upstreams of other regions go through members there while no
+		// connection is open.
+		RelayFar bool
 		// IsMember reports whether a request from an address was handed over by the living
 		// member that it names.
 		IsMember func(name, address string) bool
--- a/internal/request/dispatcher/exchange.go
+++ b/internal/request/dispatcher/exchange.go
@@ -131,6 +131,11 @@
 	// refusedHelpers those that did not take the request.
 	helper         *relayer.Helper
 	refusedHelpers []*relayer.Helper
+	// helperNear means that helper was chosen since it is near the upstream, and skipNear that a
+	// request was not answered over such a helper, so that further attempts don't use one.
+	helperNear, skipNear bool
+	// lostWithHelper is the upstream of the attempt that was lost with such a helper.
+	lostWithHelper cataloger.Incarnation
 	// sawDown means that an upstream considered for the attempt is not reached from here.
 	sawDown bool
 	// sawPause means that an upstream considered for the request wants a pause.
--- a/internal/request/dispatcher/relay.go
+++ b/internal/request/dispatcher/relay.go
@@ -1,6 +1,7 @@
 package dispatcher
 
 import (
+	"context"
 	"errors"
 
 	"github.com/gullvale/gullvale/internal/connection/sender"
@@ -20,7 +21,7 @@
 
 // path returns the way to an upstream that the next attempt takes.
 func (x *exchange) path(t *tracker.Upstream) *tracker.Path {
-	if x.helper != nil {
+	if x.helper != nil && !x.helperNear {
 		return &t.Relayed
 	}
 	return &t.Direct
@@ -49,13 +50,20 @@
 	q.OnHead = nil
 	call := relayer.Call{Upstream: u.Incarnation(), Service: u.Service, Time: max(x.expiresAt-x.d.Clock.Now(), 1)}
 	x.decision.Helper = x.helper.Name
-	resp, result, err := x.d.Relay.Do(x.r.Context(), x.helper, call, q)
+	ctx, stop := x.watchNear()
+	defer stop()
+	resp, result, err := x.d.Relay.Do(ctx, x.helper, call, q)
 	if err != nil {
+		x.skipNear = true
+		if errors.Is(context.Cause(ctx), relayer.ErrSilent) {
+			err = relayer.ErrSilent
+		}
 		x.handleHandOverError(u, err)
 		return false
 	}
 	defer resp.Close()
 	x.countRelayed(string(result.Outcome))
+	x.skipNear = x.skipNear || result.Outcome != relayer.Answered
 	x.bodyRead = x.streamedBody != nil
 	switch result.Outcome {
 	case relayer.Answered:
@@ -92,7 +100,7 @@
 		return
 	}
 	x.unreached = append(x.unreached, u.Incarnation())
-	t.Relayed.RecordDialFailure()
+	x.path(t).RecordDialFailure()
 	x.decision.Reason = "upstream not reached"
 }
 
@@ -101,7 +109,7 @@
 func (x *exchange) handleRelayedLost(u *cataloger.Upstream, t *tracker.Upstream, result relayer.Result) {
 	x.attempted = append(x.attempted, u.Incarnation())
 	x.markMayHaveRun()
-	t.Relayed.RecordLoss()
+	x.path(t).RecordLoss()
 	x.decision.Reason = "connection lost"
 	if result.Reason != "" {
 		x.decision.Reason = string(result.Reason)
@@ -131,6 +139,10 @@
 func (x *exchange) handleHelperLost(u *cataloger.Upstream, err error) {
 	x.attempted = append(x.attempted, u.Incarnation())
 	x.markMayHaveRun()
+	if x.helperNear {
+		// The upstream is not to blame, and knows the key.
+		x.lostWithHelper = u.Incarnation()
+	}
 	switch {
 	case x.r.Context().Err() != nil:
 		x.decision.Reason = "caller left"
--- a/internal/request/dispatcher/send.go
+++ b/internal/request/dispatcher/send.go
@@ -118,9 +118,7 @@
 		Check:        func() bool { return x.maySendNow(u, t) },
 		OnHead:       func(status int, h http.Header) { x.recordAdvice(u, t, status, h) },
 	}
-	if !x.route.Kind.Retryable() {
-		q.MaxIdle = maxIdleForOnce
-	}
+	q.MaxIdle = x.maxIdle()
 	return q
 }
 
--- /dev/null
+++ b/internal/request/relayer/near.go
@@ -0,0 +1,84 @@
+package relayer
+
+import (
+	"math"
+
+	"github.com/gullvale/gullvale/pkg/hasher"
+	"github.com/gullvale/gullvale/pkg/registrar"
+	"github.com/gullvale/gullvale/pkg/timekeeper"
+)
+
+const (
+	// maxShare is the inverse of the part of a helper's capacity that one member uses at most:
+	// others hand requests over as well.
+	maxShare = 4
+
+	// nearLifetime is how long the choice of a member near a site holds.
+	nearLifetime = 250 * timekeeper.Millis(1)
+
+	// maxSilence is how long a helper with requests in flight may send no response: a few times
+	// the usual run time.
+	maxSilence = 1000 * timekeeper.Millis(1)
+)
+
+// Near returns the member through which requests reach upstreams at a site of another region, or
+// nil if there is none. The requests of one VM to a site take the same member, so that their
+// connections stay open, and different VMs take different ones, in proportion to their strengths.
+// Members of the upstream's failure domain come before others of its region.
+func (r *Relayer) Near(site registrar.Site) *Helper {
+	now := r.Clock.Now()
+	r.lock.Lock()
+	c := r.near[site]
+	r.lock.Unlock()
+	if now < c.until && (c.helper == nil || c.helper.takesMore()) {
+		return c.helper
+	}
+	c = nearChoice{r.chooseNear(site), now + nearLifetime}
+	r.lock.Lock()
+	defer r.lock.Unlock()
+	if r.near == nil {
+		r.near = map[registrar.Site]nearChoice{}
+	}
+	r.near[site] = c
+	return c.helper
+}
+
+// chooseNear makes the choice for Near, which takes time proportional to the number of members.
+func (r *Relayer) chooseNear(site registrar.Site) *Helper {
+	self := r.Self()
+	selfHash := hasher.OfString(self.Name)
+	var best *Helper
+	inDomain, minDistance := false, math.Inf(1)
+	for _, m := range r.Members() {
+		if !m.Ready || !m.Relays || m.Cut || m.Leaving || m.Name == self.Name || m.Site.Region() != site.Region() {
+			continue
+		}
+		h := r.helper(m)
+		if !h.takesMore() {
+			continue
+		}
+		d := hasher.Distance(selfHash, hasher.OfString(m.Name), 1/float64(max(m.Strength, 1)))
+		same := m.Site == site
+		if same && !inDomain || same == inDomain && d < minDistance {
+			best, inDomain, minDistance = h, same, d
+		}
+	}
+	return best
+}
+
+// takesMore reports whether the helper is not avoided and has room.
+func (h *Helper) takesMore() bool {
+	return !h.avoided() && h.hasRoom()
+}
+
+// hasRoom reports whether the helper takes one more request of this member. One that has been silent
+// for maxSilence with requests in flight may be cut off: it gets no more, as a dial finds that out
+// sooner.
+func (h *Helper) hasRoom() bool {
+	h.lock.Lock()
+	defer h.lock.Unlock()
+	if h.inFlight == 0 {
+		return true
+	}
+	return h.inFlight*maxShare < int(h.Strength) && h.clock.Now()-h.quietSince < maxSilence
+}
--- a/internal/request/relayer/relayer.go
+++ b/internal/request/relayer/relayer.go
@@ -12,6 +12,7 @@
 	"github.com/gullvale/gullvale/internal/connection/sender"
 	"github.com/gullvale/gullvale/internal/process/heartbeater"
 	"github.com/gullvale/gullvale/internal/version/cataloger"
+	"github.com/gullvale/gullvale/pkg/registrar"
 	"github.com/gullvale/gullvale/pkg/timekeeper"
 )
 
@@ -19,6 +20,10 @@
 	// avoidPeriod is how long a helper that was not reached, or refused, gets no requests.
 	avoidPeriod = 500 * timekeeper.Millis(1)
 
+	// helperKeepAlive is how long an idle connection to a helper is kept. Members close none, so
+	// that a request can't meet a close but that of a process which ends.
+	helperKeepAlive = 30 * timekeeper.Second
+
 	// provenPeriod is how long a helper that reached an upstream is preferred, and provenWeight
 	// how much: several VMs may be cut at once, and tell others a moment later.
 	provenPeriod = 2 * timekeeper.Second
@@ -41,6 +46,14 @@
 		lock sync.Mutex
 		// helpers are the members that got requests, by their incarnations.
 		helpers map[uint64]*Helper
+		// near are the members chosen for sites of other regions.
+		near map[registrar.Site]nearChoice
+	}
+
+	// nearChoice is a member chosen for a site, nil for none, until some time.
+	nearChoice struct {
+		helper *Helper
+		until  timekeeper.Millis
 	}
 
 	// Helper is a member that reaches upstreams, as seen by this one.
@@ -48,9 +61,11 @@
 		heartbeater.Member
 		pool *sender.Pool
 
-		clock        timekeeper.Clock
-		lock         sync.Mutex
-		inFlight     int
+		clock    timekeeper.Clock
+		lock     sync.Mutex
+		inFlight int
+		// quietSince is when the helper last responded, or got a request while it had none.
+		quietSince   timekeeper.Millis
 		avoidedUntil timekeeper.Millis
 		provenUntil  timekeeper.Millis
 	}
@@ -111,7 +126,7 @@
 	if r.helpers == nil {
 		r.helpers = map[uint64]*Helper{}
 	}
-	h := &Helper{Member: m, clock: r.Clock, pool: &sender.Pool{Address: m.Beats, Dial: r.Dial, Clock: r.Clock, Count: r.Count}}
+	h := &Helper{Member: m, clock: r.Clock, pool: &sender.Pool{Address: m.Beats, Dial: r.Dial, Clock: r.Clock, Count: r.Count, KeepAlive: helperKeepAlive}}
 	r.helpers[m.Incarnation] = h
 	return h
 }
@@ -149,11 +164,12 @@
 // may have run. On success the result tells what became of the request.
 func (r *Relayer) Do(ctx context.Context, h *Helper, c Call, q *sender.Request) (*sender.Response, Result, error) {
 	c.From = r.Self().Name
+	q.MaxIdle = 0
 	q.Header = q.Header.Clone()
 	c.WriteTo(q.Header)
 	h.begin()
 	resp, err := h.pool.Do(ctx, q)
-	h.end()
+	h.end(err == nil)
 	if err != nil {
 		return nil, Result{}, err
 	}
@@ -189,13 +205,20 @@
 func (h *Helper) begin() {
 	h.lock.Lock()
 	defer h.lock.Unlock()
+	if h.inFlight == 0 {
+		h.quietSince = h.clock.Now()
+	}
 	h.inFlight++
 }
 
-func (h *Helper) end() {
+// end counts a request that ended, with a response if responded is set.
+func (h *Helper) end(responded bool) {
 	h.lock.Lock()
 	defer h.lock.Unlock()
 	h.inFlight--
+	if responded {
+		h.quietSince = h.clock.Now()
+	}
 }
 
 // Avoid keeps the helper from further requests for a while.
