heartbeater: the rows of a table are compressed

Cause: at a start most rows that a lead sends are those of whole or nearly whole tables, 100 bytes each with names and addresses that repeat. Change: eight rows or more go compressed to members that say they read that; those that ask within 250 ms for the same rows get the same bytes. A table that can't be read tells nothing.

--- a/internal/process/heartbeater/changes.go
+++ b/internal/process/heartbeater/changes.go
@@ -96,11 +96,12 @@
 	changed, gone, ok := b.table.since(version)
 	if b.WholeTables || !ok || k.mismatches >= maxMismatches {
 		k.mismatches = 0
-		reply.Rows, reply.Full = b.rows(""), true
+		reply.Full = true
+		b.setRows(reply, m, 0, func() []*Row { return b.rows("") })
 		return
 	}
 	reply.Changed, reply.Gone = true, gone
-	reply.Rows = b.namedRows(changed)
+	b.setRows(reply, m, version, func() []*Row { return b.namedRows(changed) })
 }
 
 // recordTable records the leader's table with a digest. The caller must hold the lock.
--- a/internal/process/heartbeater/heartbeater.go
+++ b/internal/process/heartbeater/heartbeater.go
@@ -168,7 +168,8 @@
 		self  Member
 		round int
 		// table records the changes of the members while this one leads.
-		table tableChanges
+		table  tableChanges
+		packed packedTable
 		// known is the version of the leader's table that this member has.
 		known knownTable
 	}
@@ -273,6 +274,7 @@
 		defer b.handOn(&d)
 	}
 	if d.Beat != nil && d.Beat.From != nil {
+		unpackTable(d.Beat)
 		b.handleBeat(d.Beat)
 		b.syncSuspects(d.Beat)
 		b.syncDepartures(d.Beat)
@@ -307,7 +309,7 @@
 // newBeat returns this member's heartbeat to its region, without rows of other members. The
 // caller must hold the lock.
 func (b *Heartbeater) newBeat(self Member, watermarks []*Mark) *Beat {
-	m := &Beat{From: row(self, 0), Following: b.following(self)}
+	m := &Beat{From: row(self, 0), Following: b.following(self), Unpacks: true}
 	if k := b.leader(self); k != nil {
 		m.Lead, m.Digest = k.Name, b.digest(false)
 		m.Table, m.TableOf = b.known.version, b.known.leader
