heartbeater: members of the tests have incarnations, as daemons do

With the same incarnation 0, a new leader took members' versions of the former leader's table for versions of its own.

--- a/internal/process/heartbeater/heartbeater_test.go
+++ b/internal/process/heartbeater/heartbeater_test.go
@@ -45,7 +45,7 @@
 
 // add adds a member with the given seeds.
 func (n *network) add(name string, site registrar.Site, seeds ...string) *member {
-	m := &member{self: heartbeater.Member{Name: name, Site: site, Front: "front-" + name, Beats: name, Ready: true, Reaching: true}}
+	m := &member{self: heartbeater.Member{Name: name, Incarnation: uint64(len(n.members) + 1), Site: site, Front: "front-" + name, Beats: name, Ready: true, Reaching: true}}
 	m.Heartbeater = &heartbeater.Heartbeater{
 		Self:      func() heartbeater.Member { return m.self },
 		Seeds:     seeds,
