--- a/internal/request/dispatcher/near.go
+++ b/internal/request/dispatcher/near.go
@@ -2,7 +2,9 @@
 
 import (
 	"context"
+	"errors"
 
+	"github.com/gullvale/gullvale/internal/connection/sender"
 	"github.com/gullvale/gullvale/internal/request/relayer"
 	"github.com/gullvale/gullvale/internal/version/cataloger"
 	"github.com/gullvale/gullvale/pkg/timekeeper"
@@ -42,3 +44,12 @@
 	}
 	return x.d.Relay.Watch(x.r.Context(), x.helper)
 }
+
+// avoidNear records that a helper near the upstream was not reached or lost.
+func (x *exchange) avoidNear(u *cataloger.Upstream, err error) {
+	if !x.helperNear || errors.Is(err, sender.ErrWithdrawn) || x.r.Context().Err() != nil {
+		return
+	}
+	x.skipNear = true
+	x.d.Relay.AvoidNear(u.Site)
+}
--- a/internal/request/dispatcher/relay.go
+++ b/internal/request/dispatcher/relay.go
@@ -54,7 +54,7 @@
 	defer stop()
 	resp, result, err := x.d.Relay.Do(ctx, x.helper, call, q)
 	if err != nil {
-		x.skipNear = true
+		x.avoidNear(u, err)
 		if errors.Is(context.Cause(ctx), relayer.ErrSilent) {
 			err = relayer.ErrSilent
 		}
--- a/internal/request/relayer/near.go
+++ b/internal/request/relayer/near.go
@@ -16,6 +16,10 @@
 	// nearLifetime is how long the choice of a member near a site holds.
 	nearLifetime = 250 * timekeeper.Millis(1)
 
+	// nearBackOff is how long requests to a site are sent directly after a helper there was lost: until
+	// it is known which members are gone with it.
+	nearBackOff = 3 * timekeeper.Second
+
 	// maxSilence is how long a helper with requests in flight may send no response: a few times
 	// the usual run time.
 	maxSilence = 1000 * timekeeper.Millis(1)
@@ -36,11 +40,25 @@
 	c = nearChoice{r.chooseNear(site), now + nearLifetime}
 	r.lock.Lock()
 	defer r.lock.Unlock()
+	r.setNear(site, c)
+	return c.helper
+}
+
+// AvoidNear makes Near return no helper for a site for a while. A domain that is lost takes all of its
+// members with it, and trying one after the other would cost each request more than a dial.
+func (r *Relayer) AvoidNear(site registrar.Site) {
+	until := r.Clock.Now() + nearBackOff
+	r.lock.Lock()
+	defer r.lock.Unlock()
+	r.setNear(site, nearChoice{until: until})
+}
+
+// setNear sets the choice for a site. The caller must hold the lock.
+func (r *Relayer) setNear(site registrar.Site, c nearChoice) {
 	if r.near == nil {
 		r.near = map[registrar.Site]nearChoice{}
 	}
 	r.near[site] = c
-	return c.helper
 }
 
 // chooseNear makes the choice for Near, which takes time proportional to the number of members.
--- a/internal/request/relayer/near_test.go
+++ b/internal/request/relayer/near_test.go
@@ -119,3 +119,19 @@
 	<-ended
 	is.Equal(r.Near("east/b") != nil, true)
 }
+
+// TestLostDomainIsNotTriedMemberByMember guards against requests that each wait for another member of
+// a failure domain that was lost.
+func TestLostDomainIsNotTriedMemberByMember(t *testing.T) {
+	is := is.New(t)
+	f := newFleet()
+	r := f.relayer("vm")
+	is.True(r.Near("east/b") != nil)
+	r.AvoidNear("east/b")
+	is.Equal(r.Near("east/b"), nil)
+	is.True(r.Near("east/a") != nil) // another domain of the region
+	f.now += 2900
+	is.Equal(r.Near("east/b"), nil)
+	f.now += 200
+	is.True(r.Near("east/b") != nil)
+}
