estimator: routes are bounded; heartbeater: delegates

The routes with run times are bounded at 1,000: configurations that name their routes anew would grow the map for ever. The member that hands on for another is called its delegate. The reason why a connection to a member is never too old stands at its place.

--- a/internal/process/heartbeater/handon.go
+++ b/internal/process/heartbeater/handon.go
@@ -19,19 +19,19 @@
 // used only for what receivers find missing by other means, or can do without.
 func (b *Heartbeater) sendRegion(self Member, d *Datagram) {
 	b.lock.Lock()
-	direct, deputies := b.spread(self, proto.Size(d) >= longDatagram)
+	direct, delegates := b.spread(self, proto.Size(d) >= longDatagram)
 	b.lock.Unlock()
 	b.send(direct, d)
-	if len(deputies) > 0 {
+	if len(delegates) > 0 {
 		d.HandOn = true
-		b.send(deputies, d)
+		b.send(delegates, d)
 	}
 }
 
 // spread returns the addresses of the members that get a datagram to the region directly, and of
 // those that hand it on in their failure domains. long is set for a long datagram. The caller must
 // hold the lock.
-func (b *Heartbeater) spread(self Member, long bool) (direct, deputies []string) {
+func (b *Heartbeater) spread(self Member, long bool) (direct, delegates []string) {
 	domains := map[registrar.Site][]*knownMember{}
 	for _, k := range b.members {
 		if k.Site.Region() == self.Site.Region() {
@@ -39,21 +39,21 @@
 		}
 	}
 	for site, members := range domains {
-		if k := b.deputy(self, members, long); site != self.Site && k != nil {
-			deputies = append(deputies, k.Beats)
+		if k := b.delegate(self, members, long); site != self.Site && k != nil {
+			delegates = append(delegates, k.Beats)
 			continue
 		}
 		for _, k := range members {
 			direct = append(direct, k.Beats)
 		}
 	}
-	return direct, deputies
+	return direct, delegates
 }
 
-// deputy returns the member that hands on what self sends into its failure domain, or nil if none
-// does or it is the only one. Members have different deputies, so that the loss of one concerns
+// delegate returns the member that hands on what self sends into its failure domain, or nil if none
+// does or it is the only one. Members have different delegates, so that the loss of one concerns
 // few of them. The caller must hold the lock.
-func (b *Heartbeater) deputy(self Member, members []*knownMember, long bool) *knownMember {
+func (b *Heartbeater) delegate(self Member, members []*knownMember, long bool) *knownMember {
 	if b.NoHandOn || len(members) < 2 {
 		return nil
 	}
--- a/internal/process/heartbeater/handon_test.go
+++ b/internal/process/heartbeater/handon_test.go
@@ -94,7 +94,7 @@
 	const bound = 4 // rounds of 0.5 s
 	tests := []struct {
 		name   string
-		change func(n *network, deputy *member)
+		change func(n *network, delegate *member)
 	}{
 		{"works", func(*network, *member) {}},
 		{"has just died", func(_ *network, d *member) { d.dead = true }},
@@ -109,15 +109,15 @@
 			addRegion(n, 20)
 			n.rounds(12)
 			leader := n.members[n.leaders("east")[0]]
-			deputy := findDeputy(n, leader)
+			delegate := findDelegate(n, leader)
 			latest := uint64(0)
 			known := trackChanges(n, &latest)
-			tt.change(n, deputy)
+			tt.change(n, delegate)
 			latest = 7
 			leader.Relay(heartbeater.Changes{Kind: "k", From: 0, To: 7, Body: []byte("changes")})
 			n.rounds(bound)
 			for name, m := range n.members {
-				if m != leader && m != deputy {
+				if m != leader && m != delegate {
 					is.Equal(known[name], latest)
 				}
 			}
@@ -125,15 +125,15 @@
 	}
 }
 
-// findDeputy returns the member that hands on the leader's datagrams in the other domain.
-func findDeputy(n *network, leader *member) (deputy *member) {
+// findDelegate returns the member that hands on the leader's datagrams in the other domain.
+func findDelegate(n *network, leader *member) (delegate *member) {
 	send := leader.Send
 	defer func() { leader.Send = send }()
 	leader.Send = func(to string, _ []byte) {
 		if m := n.members[to]; m.self.Site != leader.self.Site {
-			deputy = m
+			delegate = m
 		}
 	}
 	leader.Relay(heartbeater.Changes{Kind: "other"})
-	return deputy
+	return delegate
 }
--- a/internal/request/estimator/estimator.go
+++ b/internal/request/estimator/estimator.go
@@ -15,6 +15,9 @@
 	// is not distorted by the few requests that run several times as long as the others.
 	medianStep = 0.05
 
+	// maxRoutes bounds the routes that are kept: configurations change, and with them the names.
+	maxRoutes = 1000
+
 	// meanWeight is the weight of the latest run in the moving average of a service.
 	meanWeight = 0.02
 )
@@ -94,13 +97,17 @@
 	}, true
 }
 
-// routeOf returns the run times of a route. The caller holds the lock.
+// routeOf returns the run times of a route. If there are too many routes, all are learned anew. The
+// caller holds the lock.
 func (e *Estimator) routeOf(k routeKey) *route {
 	if e.routes == nil {
 		e.routes, e.services = map[routeKey]*route{}, map[resolver.ServiceName]float64{}
 	}
 	r := e.routes[k]
 	if r == nil {
+		if len(e.routes) >= maxRoutes {
+			clear(e.routes)
+		}
 		r = &route{}
 		e.routes[k] = r
 	}
--- a/internal/request/estimator/estimator_test.go
+++ b/internal/request/estimator/estimator_test.go
@@ -1,6 +1,7 @@
 package estimator_test
 
 import (
+	"fmt"
 	"testing"
 
 	"github.com/matryer/is"
@@ -52,3 +53,24 @@
 	_, ok = e.RunTimes("s", "other")
 	is.True(!ok)
 }
+
+// TestRoutesAreBounded guards against memory that grows with each configuration that names its routes
+// anew.
+func TestRoutesAreBounded(t *testing.T) {
+	is := is.New(t)
+	var e estimator.Estimator
+	for i := range 5000 {
+		for range 8 {
+			e.Record("s", fmt.Sprint("r", i), true, 200, 1)
+		}
+	}
+	known := 0
+	for i := range 5000 {
+		if _, ok := e.RunTimes("s", fmt.Sprint("r", i)); ok {
+			known++
+		}
+	}
+	is.True(known <= 1000)
+	_, ok := e.RunTimes("s", "r4999")
+	is.True(ok)
+}
--- a/internal/request/relayer/relayer.go
+++ b/internal/request/relayer/relayer.go
@@ -164,6 +164,8 @@
 // may have run. On success the result tells what became of the request.
 func (r *Relayer) Do(ctx context.Context, h *Helper, c Call, q *sender.Request) (*sender.Response, Result, error) {
 	c.From = r.Self().Name
+	// Members don't close idle connections, so that none is too old for a request that must not run
+	// twice.
 	q.MaxIdle = 0
 	q.Header = q.Header.Clone()
 	c.WriteTo(q.Header)
