heartbeater: a question reads its leader's address under the lock

Cause: the address was read after the lock was given back. No other use of a member outside the lock was found by reading.

--- a/internal/process/heartbeater/relay.go
+++ b/internal/process/heartbeater/relay.go
@@ -22,12 +22,14 @@
 	self := b.Self()
 	b.lock.Lock()
 	leader := b.leader(self)
-	b.lock.Unlock()
 	if leader == nil {
+		b.lock.Unlock()
 		return false
 	}
+	to := leader.Beats
+	b.lock.Unlock()
 	revision, era := splitPosition(from)
-	b.send([]string{leader.Beats}, &Datagram{Ask: &Ask{Kind: kind, From: revision, Era: era, Beats: self.Beats}})
+	b.send([]string{to}, &Datagram{Ask: &Ask{Kind: kind, From: revision, Era: era, Beats: self.Beats}})
 	return true
 }
 
