dispatcher, fronter: use of the retry budget is logged and counted

When a retry was refused, nothing told how many members this VM counted, what its part of the budget was and what it had spent, so the hypotheses on retries beyond the fleet's budget could not be told apart.

No decision changes.

--- a/internal/process/fronter/fronter.go
+++ b/internal/process/fronter/fronter.go
@@ -281,6 +281,7 @@
 	go f.loopSweep(ctx)
 	go f.loopMembers(ctx)
 	go f.loopForget(ctx)
+	go f.loopRetries(ctx)
 	return nil
 }
 
@@ -514,7 +515,7 @@
 	fields := logrus.Fields{
 		"id": e.ID, "route": e.Route, "service": e.Service, "class": e.Class,
 		"config": e.Config, "behind": int64(e.ConfigLag), "catalog": e.Catalog, "upstream": e.Upstream, "site": e.Site, "key": e.Key,
-		"tries": e.Attempts, "outcome": e.Outcome, "reason": e.Reason, "status": e.Status,
+		"tries": e.Attempts, "charged": e.ChargedRetries, "outcome": e.Outcome, "reason": e.Reason, "status": e.Status,
 		"ms": int64(e.Elapsed), "objective": int64(e.Objective), "waited": int64(e.PipelineWait), "sentAfter": int64(e.SentAfter), "load": e.Load, "own": e.Own,
 		"placed": e.Placement.Kind(), "bytes": e.Bytes,
 	}
--- a/internal/request/dispatcher/dispatcher.go
+++ b/internal/request/dispatcher/dispatcher.go
@@ -153,10 +153,13 @@
 		Placement assigner.Placement
 		Key       string
 		Attempts  int
-		Outcome   string
-		Reason    string
-		Status    int
-		Elapsed   timekeeper.Millis
+		// ChargedRetries is how many retries were taken from the retry budget. Attempts that did
+		// not reach an upstream may be charged as well.
+		ChargedRetries int
+		Outcome        string
+		Reason         string
+		Status         int
+		Elapsed        timekeeper.Millis
 		// Objective is the time within which a response is worth its full price.
 		Objective timekeeper.Millis
 		// PipelineWait is the part of Elapsed that the request spent waiting for the requests
--- a/internal/request/dispatcher/retries.go
+++ b/internal/request/dispatcher/retries.go
@@ -1,6 +1,8 @@
 package dispatcher
 
 import (
+	"cmp"
+	"slices"
 	"sync"
 
 	"github.com/gullvale/gullvale/internal/version/resolver"
@@ -25,6 +27,19 @@
 		services map[resolver.ServiceName]*window
 	}
 
+	// RetryUsage is the use of this daemon's part of the retry budget for one service.
+	RetryUsage struct {
+		Service resolver.ServiceName
+		// Granted and Refused count the retries since the last report.
+		Granted int
+		Refused int
+		// Requests and Retries are the counts within the window.
+		Requests int
+		Retries  int
+		// Limits is this daemon's part.
+		Limits RetryLimits
+	}
+
 	// RetryLimits is one daemon's part of the retry budget.
 	RetryLimits struct {
 		// Ratio is the number of retries allowed per request.
@@ -39,6 +54,9 @@
 	// window counts the requests and retries of one service in consecutive time spans.
 	window struct {
 		spans [windowSpans]span
+		// granted and refused count the retries since the last report.
+		granted int
+		refused int
 	}
 
 	span struct {
@@ -64,12 +82,33 @@
 	defer r.lock.Unlock()
 	l := r.Limits()
 	if !r.available(s, l) {
+		r.services[s].refused++
 		return false
 	}
 	r.currentSpan(s, l).retries++
+	r.services[s].granted++
 	return true
 }
 
+// Report returns the use of the budget for the services with retries granted or refused since the
+// last call, sorted by service.
+func (r *Retries) Report() (list []RetryUsage) {
+	r.lock.Lock()
+	defer r.lock.Unlock()
+	for s, w := range r.services {
+		if w.granted+w.refused == 0 {
+			continue
+		}
+		l := r.Limits()
+		u := RetryUsage{Service: s, Granted: w.granted, Refused: w.refused, Limits: l}
+		u.Requests, u.Retries = w.sum(r.currentSpan(s, l).number)
+		w.granted, w.refused = 0, 0
+		list = append(list, u)
+	}
+	slices.SortFunc(list, func(x, y RetryUsage) int { return cmp.Compare(x.Service, y.Service) })
+	return list
+}
+
 // Available reports whether Acquire would succeed now.
 func (r *Retries) Available(s resolver.ServiceName) bool {
 	r.lock.Lock()
--- a/internal/request/dispatcher/send.go
+++ b/internal/request/dispatcher/send.go
@@ -34,6 +34,7 @@
 	case !x.d.Retries.Acquire(x.service):
 		return "retry budget used up"
 	}
+	x.decision.ChargedRetries++
 	return ""
 }
 
