--- a/internal/process/fronter/export_test.go
+++ b/internal/process/fronter/export_test.go
@@ -1,6 +1,26 @@
 package fronter
 
-import "context"
+import (
+	"context"
+
+	"github.com/gullvale/gullvale/internal/version/resolver"
+	"github.com/gullvale/gullvale/pkg/timekeeper"
+)
 
 // AwaitStartup exports awaitStartup for tests.
 func (f *Fronter) AwaitStartup(ctx context.Context) { f.awaitStartup(ctx) }
+
+// UseClock makes an entry that was not started use a clock, by which it is created now.
+func (f *Fronter) UseClock(c timekeeper.Clock) {
+	f.clock, f.dispatcher.Retries.Clock = c, c
+	f.startup.startedAt = c.Now()
+}
+
+// RefreshMembers does what the loop of members does.
+func (f *Fronter) RefreshMembers() { f.refreshMembers() }
+
+// CountRequest counts the first attempt of a request.
+func (f *Fronter) CountRequest(s resolver.ServiceName) { f.dispatcher.Retries.CountRequest(s) }
+
+// AcquireRetry takes a retry from this member's part of the retry budget.
+func (f *Fronter) AcquireRetry(s resolver.ServiceName) bool { return f.dispatcher.Retries.Acquire(s) }
