fronter: the retry burst is divided by the members that may be alive

Callers and upstreams saw: with upstreams that refuse and VMs cut from each other, a service got up to 300 retries in 10 s where 280 were allowed.

Cause: a VM's part was half of the burst divided by the members that it hears. A VM that hears nobody took the whole half; nine of them 4.5 times the burst. Evidence: the lines "retry budget" of the cut tell of 1 or 2 members and a part of 29 or 14.5, those before and after it of 9 and 3.2.

Change: a roster holds the members that were heard within 15 minutes and did not leave, and those that the store lists at the start; their number is the divisor. A VM to which nothing is known of others has the ratio only. Views that shrink no longer raise a part, so the sum holds whatever is cut.

Ruled out: dividing by those heard within 60 s, as the limits of organisations do: regions lose each other for minutes.

--- a/internal/process/follower/follow.go
+++ b/internal/process/follower/follow.go
@@ -114,6 +114,7 @@
 		},
 		Log: o.Log,
 	})
+	f.front.ExpectMembers(self)
 	f.apply(t)
 	return f, nil
 }
--- a/internal/process/fronter/bounds.go
+++ b/internal/process/fronter/bounds.go
@@ -12,8 +12,8 @@
 )
 
 const (
-	// retryBurstShare is the part of the fleet's retry burst that the live members
-	// divide. The rest covers members replaced within the window, whose retries still
+	// retryBurstShare is the part of the fleet's retry burst that the members divide.
+	// The rest covers members replaced within the window, whose retries still
 	// count, and members whose views of the membership differ.
 	retryBurstShare = 0.5
 
@@ -69,14 +69,27 @@
 	return max(min(rate, limit/maxWarmupSenders-warmupBurst), minWarmupRate)
 }
 
-// retryLimits returns this member's part of the retry limits.
+// retryLimits returns this member's part of the retry limits. Without knowledge of other members it
+// has no part of the burst.
 func (f *Fronter) retryLimits() dispatcher.RetryLimits {
 	b := f.options.Bounds()
-	return dispatcher.RetryLimits{
-		Ratio:  b.RetryRatio,
-		Burst:  b.RetryBurst * retryBurstShare / float64(max(len(f.members()), 1)),
-		Window: b.RetryWindow,
+	l := dispatcher.RetryLimits{Ratio: b.RetryRatio, Window: b.RetryWindow}
+	if n := f.fleetSize(); n > 0 {
+		l.Burst = b.RetryBurst * retryBurstShare / float64(n)
 	}
+	return l
+}
+
+// ExpectMembers records members that are known from another source than Options.Members. They may be
+// alive.
+func (f *Fronter) ExpectMembers(members []heartbeater.Member) {
+	f.roster.expect(f.clock.Now(), members)
+}
+
+// fleetSize returns how many members may be alive, or 0 if nothing is known of others.
+func (f *Fronter) fleetSize() int {
+	f.members()
+	return f.roster.size()
 }
 
 // hasWarmupRoom reports whether this member may send a request to a cold upstream now.
--- a/internal/process/fronter/export_test.go
+++ b/internal/process/fronter/export_test.go
@@ -24,3 +24,6 @@
 
 // AcquireRetry takes a retry from this member's part of the retry budget.
 func (f *Fronter) AcquireRetry(s resolver.ServiceName) bool { return f.dispatcher.Retries.Acquire(s) }
+
+// FleetSize returns how many members may be alive.
+func (f *Fronter) FleetSize() int { return f.fleetSize() }
--- a/internal/process/fronter/fronter.go
+++ b/internal/process/fronter/fronter.go
@@ -164,6 +164,8 @@
 		// liveMembers caches the live members, since every request reads them. It is
 		// refreshed every membersInterval.
 		liveMembers atomic.Pointer[[]heartbeater.Member]
+		// roster holds the members that may be alive. It is refreshed with liveMembers.
+		roster roster
 		// requestLog limits the log lines about requests. Dropped lines are counted.
 		requestLog *rate.Limiter
 	}
@@ -458,6 +460,7 @@
 		return
 	}
 	l := f.options.Members()
+	f.roster.observe(f.clock.Now(), f.options.Self, l)
 	f.liveMembers.Store(&l)
 }
 
--- /dev/null
+++ b/internal/process/fronter/roster_test.go
@@ -0,0 +1,42 @@
+package fronter_test
+
+import (
+	"testing"
+
+	"github.com/matryer/is"
+
+	"github.com/gullvale/gullvale/internal/process/fronter"
+	"github.com/gullvale/gullvale/internal/process/heartbeater"
+	"github.com/gullvale/gullvale/pkg/timekeeper"
+)
+
+// TestFleetSize checks which members count as alive while they are not heard.
+func TestFleetSize(t *testing.T) {
+	is := is.New(t)
+	now := timekeeper.Millis(0)
+	self := heartbeater.Member{Name: "self"}
+	heard := []heartbeater.Member{self}
+	f := fronter.New(fronter.Options{
+		Self:    self.Name,
+		Bounds:  func() fronter.Bounds { return fronter.Bounds{} },
+		Members: func() []heartbeater.Member { return heard },
+	})
+	f.UseClock(timekeeper.Clock{Monotonic: func() timekeeper.Millis { return now }})
+	after := func(m timekeeper.Millis, members ...heartbeater.Member) int {
+		now += m
+		heard = append([]heartbeater.Member{self}, members...)
+		f.RefreshMembers()
+		return f.FleetSize()
+	}
+	silent, leaving := heartbeater.Member{Name: "silent"}, heartbeater.Member{Name: "leaving", Leaving: true}
+
+	is.Equal(after(0), 0) // nothing is known of others
+	f.ExpectMembers([]heartbeater.Member{self, {Name: "registered"}})
+	is.Equal(f.FleetSize(), 2)
+	is.Equal(after(1000, silent, leaving), 4)
+	is.Equal(after(1000, silent, leaving), 4) // a member that leaves still serves
+	is.Equal(after(1000, silent), 3)
+	is.Equal(after(5*timekeeper.Minute), 3)
+	is.Equal(after(15*timekeeper.Minute), 1) // neither was heard for longer than a cut lasts
+	is.Equal(after(1000, heartbeater.Member{Name: "leaving"}), 2)
+}
