dispatcher: a retry that reaches no upstream is not used up

Callers saw: 503 "retry budget used up" while an upstream was free. After a refusal each further choice was charged, also those whose dial failed or that were withdrawn before a byte was sent: one request could use up several retries and send none.

Cause: retryRefusal acquired a retry in each round of the loop, whatever became of the one before.

Change: a request holds the retry until an attempt reaches an upstream or may have, and returns it at its end.

--- a/internal/request/dispatcher/dispatcher.go
+++ b/internal/request/dispatcher/dispatcher.go
@@ -153,8 +153,7 @@
 		Placement assigner.Placement
 		Key       string
 		Attempts  int
-		// ChargedRetries is how many retries were taken from the retry budget. Attempts that did
-		// not reach an upstream may be charged as well.
+		// ChargedRetries is how many attempts were taken from the retry budget.
 		ChargedRetries int
 		Outcome        string
 		Reason         string
--- a/internal/request/dispatcher/exchange.go
+++ b/internal/request/dispatcher/exchange.go
@@ -120,6 +120,9 @@
 	// sentAgainst is the snapshot of the catalog when the last attempt was sent.
 	sentAgainst *cataloger.Snapshot
 	attempted   []cataloger.Incarnation
+	// heldRetry is the service from whose budget the request holds a retry for its next attempt, ""
+	// if it holds none.
+	heldRetry resolver.ServiceName
 	// misdirected is how many of the attempted incarnations had terminated: another one
 	// responded in their place and ran nothing.
 	misdirected int
@@ -155,6 +158,7 @@
 // reportDecision records the metrics of the request and calls OnDecision.
 func (x *exchange) reportDecision() {
 	x.settleToken()
+	x.releaseRetry()
 	e := &x.decision
 	e.ID = x.r.Header.Get(x.d.Fields.RequestID)
 	e.Elapsed = x.d.Clock.Now() - x.arrivedAt
--- a/internal/request/dispatcher/relay.go
+++ b/internal/request/dispatcher/relay.go
@@ -68,7 +68,7 @@
 	switch result.Outcome {
 	case relayer.Answered:
 		recordAdvice(resp.Status, resp.Header)
-		x.attempted = append(x.attempted, u.Incarnation())
+		x.recordAttempt(u)
 		defer func() { x.decision.Bytes += resp.Bytes() }()
 		x.recordLoad(t, resp)
 		return x.handleResponse(u, t, resp)
@@ -107,7 +107,7 @@
 // handleRelayedLost handles a request that the helper sent without a valid response. Without a
 // valid outcome it may have run as well.
 func (x *exchange) handleRelayedLost(u *cataloger.Upstream, t *tracker.Upstream, result relayer.Result) {
-	x.attempted = append(x.attempted, u.Incarnation())
+	x.recordAttempt(u)
 	x.markMayHaveRun()
 	x.path(t).RecordLoss()
 	x.decision.Reason = "connection lost"
@@ -137,7 +137,7 @@
 
 // handleHelperLost handles a request that was handed over and of which nothing is known since.
 func (x *exchange) handleHelperLost(u *cataloger.Upstream, err error) {
-	x.attempted = append(x.attempted, u.Incarnation())
+	x.recordAttempt(u)
 	x.markMayHaveRun()
 	if x.helperNear {
 		// The upstream is not to blame, and knows the key.
--- a/internal/request/dispatcher/retries.go
+++ b/internal/request/dispatcher/retries.go
@@ -30,7 +30,8 @@
 	// RetryUsage is the use of this daemon's part of the retry budget for one service.
 	RetryUsage struct {
 		Service resolver.ServiceName
-		// Granted and Refused count the retries since the last report.
+		// Granted and Refused count the retries since the last report. Granted is less those that
+		// were released, so it may be negative.
 		Granted int
 		Refused int
 		// Requests and Retries are the counts within the window.
@@ -90,13 +91,21 @@
 	return true
 }
 
+// Release returns a retry that was acquired and reached no upstream.
+func (r *Retries) Release(s resolver.ServiceName) {
+	r.lock.Lock()
+	defer r.lock.Unlock()
+	r.currentSpan(s, r.Limits()).retries--
+	r.services[s].granted--
+}
+
 // Report returns the use of the budget for the services with retries granted or refused since the
 // last call, sorted by service.
 func (r *Retries) Report() (list []RetryUsage) {
 	r.lock.Lock()
 	defer r.lock.Unlock()
 	for s, w := range r.services {
-		if w.granted+w.refused == 0 {
+		if w.granted == 0 && w.refused == 0 {
 			continue
 		}
 		l := r.Limits()
--- a/internal/request/dispatcher/retries_test.go
+++ b/internal/request/dispatcher/retries_test.go
@@ -1,11 +1,14 @@
 package dispatcher_test
 
 import (
+	"fmt"
+	"net/http"
 	"testing"
 
 	"github.com/matryer/is"
 
 	"github.com/gullvale/gullvale/internal/request/dispatcher"
+	"github.com/gullvale/gullvale/internal/version/matcher"
 	"github.com/gullvale/gullvale/pkg/timekeeper"
 )
 
@@ -34,3 +37,22 @@
 	is.Equal(l[0], dispatcher.RetryUsage{Service: "ledger", Granted: 4, Refused: 1, Requests: 10, Retries: 4, Limits: limits})
 	is.Equal(len(r.Report()), 0)
 }
+
+// TestUnsentRetryIsChargedOnce guards against a request that uses up the retry budget by attempts
+// that reach no upstream.
+func TestUnsentRetryIsChargedOnce(t *testing.T) {
+	for i := range 12 {
+		t.Run(fmt.Sprint("key", i), func(t *testing.T) {
+			is := is.New(t)
+			s := newHarness(t, matcher.Idempotent)
+			s.burst = 1
+			s.add(t, "refuses", refuses)
+			s.add(t, "serves", succeeds)
+			for _, id := range []string{"ended1", "ended2", "ended3"} {
+				s.add(t, id, succeeds).Close()
+			}
+			p, _ := s.do(http.MethodGet, "id", func(q *http.Request) { q.Header.Set(fields.Key, fmt.Sprint(i)) })
+			is.Equal(p.StatusCode, http.StatusOK)
+		})
+	}
+}
--- a/internal/request/dispatcher/send.go
+++ b/internal/request/dispatcher/send.go
@@ -31,13 +31,43 @@
 		return "suspected"
 	case len(x.attempted)-x.misdirected >= x.route.Attempts:
 		return "attempts used up"
-	case !x.d.Retries.Acquire(x.service):
+	case !x.acquireRetry():
 		return "retry budget used up"
 	}
-	x.decision.ChargedRetries++
 	return ""
 }
 
+// acquireRetry takes a retry from the budget, unless the request holds one that reached no upstream.
+func (x *exchange) acquireRetry() bool {
+	if x.heldRetry == x.service && x.heldRetry != "" {
+		return true
+	}
+	x.releaseRetry()
+	if !x.d.Retries.Acquire(x.service) {
+		return false
+	}
+	x.heldRetry = x.service
+	return true
+}
+
+// releaseRetry returns the retry that the request holds, if any.
+func (x *exchange) releaseRetry() {
+	if x.heldRetry != "" {
+		x.d.Retries.Release(x.heldRetry)
+	}
+	x.heldRetry = ""
+}
+
+// recordAttempt records an attempt that reached an upstream, or may have. It uses up the retry that
+// the request holds.
+func (x *exchange) recordAttempt(u *cataloger.Upstream) {
+	x.attempted = append(x.attempted, u.Incarnation())
+	if x.heldRetry != "" {
+		x.decision.ChargedRetries++
+	}
+	x.heldRetry = ""
+}
+
 // send sends the request to u and reports whether the caller got a response.
 func (x *exchange) send(u *cataloger.Upstream) bool {
 	t := x.d.Upstreams.StateOf(u)
@@ -58,7 +88,7 @@
 		x.handleNotSent(u, t)
 		return false
 	}
-	x.attempted = append(x.attempted, u.Incarnation())
+	x.recordAttempt(u)
 	if err != nil {
 		return x.handleLost(u, t, err, abandoned)
 	}
