dispatcher: a process earns its part of the retry burst over a window

Callers and upstreams saw: with upstreams that refuse and VMs that are killed several times within 10 s, a service got up to 253 retries where 222 were allowed.

Cause: the window of retries lives in the process. A new one began with a whole part of the burst, however much the one before it had spent within the window, and half of the burst covers one such replacement of all VMs only.

Change: a process has a tenth of its part at its start and all of it after a window. Without knowledge of what was spent before, this is what several replacements within a window can have; the ratio applies from the first request.

Ruled out: asking others for what the predecessor spent, since all of them may have been killed; a record in the store, a write for each start and of no use while the store is away.

TestRestartsDoNotRenewTheRetryBurst, unchanged: 25 and 50 retries too many in 2 of 2 cases before, none after.

--- a/internal/process/fronter/export_test.go
+++ b/internal/process/fronter/export_test.go
@@ -14,6 +14,7 @@
 func (f *Fronter) UseClock(c timekeeper.Clock) {
 	f.clock, f.dispatcher.Retries.Clock = c, c
 	f.startup.startedAt = c.Now()
+	f.dispatcher.Retries.Since = c.Now()
 }
 
 // RefreshMembers does what the loop of members does.
--- a/internal/process/fronter/fronter.go
+++ b/internal/process/fronter/fronter.go
@@ -202,6 +202,7 @@
 		Limits:            o.Limits,
 		Retries: &dispatcher.Retries{
 			Limits: f.retryLimits,
+			Since:  f.startup.startedAt,
 		},
 		StopsAt:      f.StopsAt,
 		AwaitReady:   f.awaitStartup,
--- a/internal/request/dispatcher/retries.go
+++ b/internal/request/dispatcher/retries.go
@@ -14,6 +14,10 @@
 // ended before it. The rest of the ratio covers these.
 const safetyFactor = 0.8
 
+// startShare is the part of its burst that a process has at its start. It is small, since the
+// process before it may have spent its own within the same window.
+const startShare = 0.1
+
 type (
 	// Retries limits one daemon's attempts beyond the first of each request. The limit applies
 	// to the whole fleet over a sliding window: a ratio of the requests for a service plus a
@@ -21,7 +25,9 @@
 	// sum stays within the fleet's limit without coordination. Limits must be set before use.
 	Retries struct {
 		Limits func() RetryLimits
-		Clock  timekeeper.Clock
+		// Since is when the process started.
+		Since timekeeper.Millis
+		Clock timekeeper.Clock
 
 		lock     sync.Mutex
 		services map[resolver.ServiceName]*window
@@ -128,7 +134,14 @@
 func (r *Retries) available(s resolver.ServiceName, l RetryLimits) bool {
 	now := r.currentSpan(s, l).number
 	requests, retries := r.services[s].sum(now)
-	return float64(retries+1) <= safetyFactor*l.Ratio*float64(requests)+l.Burst
+	return float64(retries+1) <= safetyFactor*l.Ratio*float64(requests)+l.Burst*r.earned(l)
+}
+
+// earned returns the part of the burst that this process may use: startShare at its start, and all
+// of it after a window.
+func (r *Retries) earned(l RetryLimits) float64 {
+	age := r.Clock.Now() - r.Since
+	return min(startShare+float64(age)/float64(max(l.Window, 1)), 1)
 }
 
 func (r *Retries) currentSpan(s resolver.ServiceName, l RetryLimits) *span {
