fronter: a VM has a part of the retry burst once it has read the list of VMs

VMs that start while they are cut from most others hear one or two, and took their number for the fleet's.

Cause: the same class as the part that grew when a VM heard fewer others: what is heard was taken for what there is, now only by processes that have just started.

Change: hearing others adds to the members that may be alive, and only the store's list of VMs (or a daemon without a fleet) makes them the whole. Until it is read a VM has the ratio only; that is so for a start while the store is away.

The model's processes read the list at their start.

--- a/internal/process/fronter/bounds.go
+++ b/internal/process/fronter/bounds.go
@@ -70,8 +70,8 @@
 	return max(min(rate, limit/maxWarmupSenders-warmupBurst), minWarmupRate)
 }
 
-// retryLimits returns this member's part of the retry limits. Without knowledge of other members it
-// has no part of the burst.
+// retryLimits returns this member's part of the retry limits. It has none of the burst until
+// ExpectMembers was called.
 func (f *Fronter) retryLimits() dispatcher.RetryLimits {
 	b := f.options.Bounds()
 	l := dispatcher.RetryLimits{Ratio: b.RetryRatio, Window: b.RetryWindow}
@@ -87,7 +87,7 @@
 	f.roster.expect(f.clock.Now(), members)
 }
 
-// fleetSize returns how many members may be alive, or 0 if nothing is known of others.
+// fleetSize returns how many members may be alive, or 0 if ExpectMembers was not called.
 func (f *Fronter) fleetSize() int {
 	f.members()
 	return f.roster.size()
--- a/internal/process/fronter/fronter.go
+++ b/internal/process/fronter/fronter.go
@@ -461,7 +461,7 @@
 		return
 	}
 	l := f.options.Members()
-	f.roster.observe(f.clock.Now(), f.options.Self, l)
+	f.roster.observe(f.clock.Now(), l)
 	f.liveMembers.Store(&l)
 }
 
--- a/internal/process/fronter/retries_test.go
+++ b/internal/process/fronter/retries_test.go
@@ -1,7 +1,10 @@
 package fronter_test
 
 import (
+	"flag"
 	"fmt"
+	"math"
+	"math/rand/v2"
 	"slices"
 	"testing"
 
@@ -12,6 +15,9 @@
 	"github.com/gullvale/gullvale/pkg/timekeeper"
 )
 
+// faultSeeds is how many seeds TestRetryBudgetUnderRandomFaults runs.
+var faultSeeds = flag.Int("faults.seeds", 100, "number of seeds of TestRetryBudgetUnderRandomFaults")
+
 const (
 	modelTick          = 10 * timekeeper.Millis(1)
 	modelHeartbeat     = 500 * timekeeper.Millis(1)
@@ -65,8 +71,13 @@
 		f.UseClock(timekeeper.Clock{Monotonic: func() timekeeper.Millis { return r.now }})
 		r.vms[n] = f
 	}
+	var listed []heartbeater.Member
+	for _, n := range r.names() {
+		listed = append(listed, heartbeater.Member{Name: n})
+	}
 	for _, n := range names {
 		r.vms[n].RefreshMembers()
+		r.vms[n].ExpectMembers(listed)
 	}
 }
 
@@ -265,3 +276,72 @@
 	r.check(t)
 	is.New(t).True(float64(len(r.retries)) > modelRetryRatio/3*float64(len(r.requests)))
 }
+
+// TestRetryBudgetUnderRandomFaults checks the budget while VMs are killed, replaced and cut from
+// each other, and callers move, at random times.
+func TestRetryBudgetUnderRandomFaults(t *testing.T) {
+	for seed := range *faultSeeds {
+		t.Run(fmt.Sprint("seed", seed), func(t *testing.T) {
+			random := rand.New(rand.NewPCG(uint64(seed), 3))
+			r := newRetryFleet(modelRetryBurst, 0)
+			r.changeRates(random)
+			r.start(modelNames(0))
+			r.run(timekeeper.Millis(random.IntN(20_000)))
+			for range 12 {
+				r.refusing = random.IntN(4) > 0
+				r.injectFault(random)
+				r.run(timekeeper.Millis(random.IntN(4000)))
+			}
+			if e, at := r.excess(); e > 0 {
+				t.Errorf("%.0f retries beyond the budget in the window from %v, of %d requests in all", e, at, len(r.requests))
+			}
+		})
+	}
+}
+
+// changeRates distributes callers anew.
+func (r *retryFleet) changeRates(random *rand.Rand) {
+	total, weights := 5*math.Exp(4*random.Float64()), map[string]float64{}
+	r.perSecond = func(name string) float64 {
+		if _, known := weights[name]; !known {
+			weights[name] = total / modelVms * (0.1 + 1.8*random.Float64())
+		}
+		return weights[name]
+	}
+}
+
+// injectFault kills and replaces VMs, cuts them from each other, ends a cut, or moves callers.
+func (r *retryFleet) injectFault(random *rand.Rand) {
+	groups := map[string]int{}
+	switch random.IntN(5) {
+	case 0, 1:
+		var killed []string
+		for _, n := range r.names() {
+			if random.IntN(10) < 6 {
+				killed = append(killed, n)
+			}
+		}
+		r.kill(killed)
+		r.run(timekeeper.Millis(300 + random.IntN(1500)))
+		if random.IntN(3) == 0 {
+			for i := range killed {
+				killed[i] += "-next"
+			}
+		}
+		r.start(killed)
+	case 2:
+		parts := 1 + random.IntN(modelVms)
+		r.cut = func(a, b string) bool {
+			for _, n := range []string{a, b} {
+				if _, known := groups[n]; !known {
+					groups[n] = random.IntN(parts)
+				}
+			}
+			return groups[a] != groups[b]
+		}
+	case 3:
+		r.cut = func(string, string) bool { return false }
+	case 4:
+		r.changeRates(random)
+	}
+}
--- a/internal/process/fronter/roster.go
+++ b/internal/process/fronter/roster.go
@@ -18,8 +18,8 @@
 	roster struct {
 		lock    sync.Mutex
 		members map[string]sighting
-		// informed reports whether any other member was heard, or the members are known from
-		// another source.
+		// informed reports whether the members are known from another source. A process that
+		// started while this VM was cut off from some members hears the others only.
 		informed bool
 	}
 
@@ -31,12 +31,11 @@
 )
 
 // observe records the members that are heard at a time, including this one.
-func (r *roster) observe(now timekeeper.Millis, self string, heard []heartbeater.Member) {
+func (r *roster) observe(now timekeeper.Millis, heard []heartbeater.Member) {
 	r.lock.Lock()
 	defer r.lock.Unlock()
 	for _, m := range heard {
 		r.record(m.Name, sighting{at: now, leaving: m.Leaving})
-		r.informed = r.informed || m.Name != self
 	}
 	for name, s := range r.members {
 		if s.leaving && s.at < now || now-s.at > absentTimeout {
@@ -65,8 +64,8 @@
 	r.members[name] = s
 }
 
-// size returns how many members may be alive, including this one, or 0 if nothing is known of
-// others.
+// size returns how many members may be alive, including this one, or 0 if only those are known that
+// are heard.
 func (r *roster) size() int {
 	r.lock.Lock()
 	defer r.lock.Unlock()
--- a/internal/process/fronter/roster_test.go
+++ b/internal/process/fronter/roster_test.go
@@ -30,13 +30,13 @@
 	}
 	silent, leaving := heartbeater.Member{Name: "silent"}, heartbeater.Member{Name: "leaving", Leaving: true}
 
-	is.Equal(after(0), 0) // nothing is known of others
+	is.Equal(after(0, heartbeater.Member{Name: "near"}), 0) // others may be cut off
 	f.ExpectMembers([]heartbeater.Member{self, {Name: "registered"}})
-	is.Equal(f.FleetSize(), 2)
-	is.Equal(after(1000, silent, leaving), 4)
-	is.Equal(after(1000, silent, leaving), 4) // a member that leaves still serves
-	is.Equal(after(1000, silent), 3)
-	is.Equal(after(5*timekeeper.Minute), 3)
-	is.Equal(after(15*timekeeper.Minute), 1) // neither was heard for longer than a cut lasts
+	is.Equal(f.FleetSize(), 3)
+	is.Equal(after(1000, silent, leaving), 5)
+	is.Equal(after(1000, silent, leaving), 5) // a member that leaves still serves
+	is.Equal(after(1000, silent), 4)
+	is.Equal(after(5*timekeeper.Minute), 4)
+	is.Equal(after(15*timekeeper.Minute), 1) // none was heard for longer than a cut lasts
 	is.Equal(after(1000, heartbeater.Member{Name: "leaving"}), 2)
 }
