fronter, heartbeater: tests of the same class elsewhere, listed as red

Looked for beside the retry budget: a part of what the fleet may do in total, computed from a view that shrinks when the fleet is in trouble.

- TestCutVmsKeepColdUpstreamsWithinTheirRate: nine VMs of a region that hear nobody send 27 requests a second to a cold upstream, bound 12.5.
- TestCutMembersStayKnown: after a cut of two minutes each side counts only its own members, and so takes the whole of the organisations' limits.

Neither is fixed.

--- a/internal/process/fronter/bounds_test.go
+++ b/internal/process/fronter/bounds_test.go
@@ -3,10 +3,13 @@
 import (
 	"fmt"
 	"testing"
+	"time"
 
 	"github.com/matryer/is"
 
 	"github.com/gullvale/gullvale/internal/process/fronter"
+	"github.com/gullvale/gullvale/internal/process/heartbeater"
+	"github.com/gullvale/gullvale/internal/version/cataloger"
 )
 
 // TestWarmupRateOfOneSender checks the warm-up rate of a sender: three senders with a burst of one
@@ -27,3 +30,41 @@
 		})
 	}
 }
+
+// TestCutVmsKeepColdUpstreamsWithinTheirRate guards against VMs that all send to a cold upstream at
+// the rate of one of few senders, since none hears the others.
+func TestCutVmsKeepColdUpstreamsWithinTheirRate(t *testing.T) {
+	const (
+		// bound is that of the bounds for the default warm-up rate, 5 a second.
+		bound  = 12.5
+		length = 2 * time.Second
+	)
+	u := &cataloger.Upstream{ID: "cold", Service: "ledger", Site: "east/a"}
+	var fleet []*fronter.Fronter
+	for _, name := range modelNames(0) {
+		self := heartbeater.Member{Name: name, Site: "east/a"}
+		fleet = append(fleet, fronter.New(fronter.Options{
+			Self:    name,
+			Bounds:  func() fronter.Bounds { return fronter.Bounds{ColdOver: 1.5, ColdSlack: 5} },
+			Members: func() []heartbeater.Member { return []heartbeater.Member{self} },
+		}))
+	}
+	var sent []time.Time
+	for end := time.Now().Add(length); time.Now().Before(end); time.Sleep(time.Millisecond) {
+		for _, f := range fleet {
+			if f.SendsToCold(u) {
+				sent = append(sent, time.Now())
+			}
+		}
+	}
+	most, first := 0, 0
+	for i, at := range sent {
+		for at.Sub(sent[first]) >= time.Second {
+			first++
+		}
+		most = max(most, i-first+1)
+	}
+	if float64(most) > bound {
+		t.Errorf("%d requests to a cold upstream within a second, bound %v", most, bound)
+	}
+}
--- a/internal/process/fronter/export_test.go
+++ b/internal/process/fronter/export_test.go
@@ -4,6 +4,7 @@
 	"context"
 	"math/rand/v2"
 
+	"github.com/gullvale/gullvale/internal/version/cataloger"
 	"github.com/gullvale/gullvale/internal/version/resolver"
 	"github.com/gullvale/gullvale/pkg/hasher"
 	"github.com/gullvale/gullvale/pkg/timekeeper"
@@ -32,3 +33,9 @@
 
 // FleetSize returns how many members may be alive.
 func (f *Fronter) FleetSize() int { return f.fleetSize() }
+
+// SendsToCold reports whether a request may be sent to a cold upstream now, and counts it if so.
+func (f *Fronter) SendsToCold(u *cataloger.Upstream) bool {
+	t := f.upstreams.StateOf(u)
+	return f.hasWarmupRoom(u, t) && f.acquireWarmupRoom(u, t)
+}
--- a/internal/process/heartbeater/limits_test.go
+++ b/internal/process/heartbeater/limits_test.go
@@ -44,6 +44,20 @@
 	is.True(last.FleetView().Isolated)
 }
 
+// TestCutMembersStayKnown guards against members that cut each other's share of the limits out of
+// their own view: regions lose each other for minutes.
+func TestCutMembersStayKnown(t *testing.T) {
+	is := is.New(t)
+	n := newNetwork()
+	addFleet(n, 24)
+	n.rounds(12)
+	for _, m := range n.members {
+		m.dead = m.self.Site.Region() != "east"
+	}
+	n.rounds(240) // two minutes
+	is.Equal(n.members["m00"].FleetView().Known, 24)
+}
+
 // allocators returns the members that consider themselves limit allocators.
 func (n *network) allocators() (names []string) {
 	for _, name := range n.names() {
