--- a/internal/process/fronter/bounds.go
+++ b/internal/process/fronter/bounds.go
@@ -84,13 +84,13 @@
 // ExpectMembers records members that are known from another source than Options.Members. They may be
 // alive.
 func (f *Fronter) ExpectMembers(members []heartbeater.Member) {
-	f.roster.expect(f.clock.Now(), members)
+	f.memberHistory.expect(f.clock.Now(), members)
 }
 
 // fleetSize returns how many members may be alive, or 0 if ExpectMembers was not called.
 func (f *Fronter) fleetSize() int {
 	f.members()
-	return f.roster.size()
+	return f.memberHistory.size()
 }
 
 // hasWarmupRoom reports whether this member may send a request to a cold upstream now.
--- a/internal/process/fronter/fronter.go
+++ b/internal/process/fronter/fronter.go
@@ -164,8 +164,8 @@
 		// liveMembers caches the live members, since every request reads them. It is
 		// refreshed every membersInterval.
 		liveMembers atomic.Pointer[[]heartbeater.Member]
-		// roster holds the members that may be alive. It is refreshed with liveMembers.
-		roster roster
+		// memberHistory holds the members that may be alive. It is refreshed with liveMembers.
+		memberHistory memberHistory
 		// requestLog limits the log lines about requests. Dropped lines are counted.
 		requestLog *rate.Limiter
 	}
@@ -461,7 +461,7 @@
 		return
 	}
 	l := f.options.Members()
-	f.roster.observe(f.clock.Now(), l)
+	f.memberHistory.observe(f.clock.Now(), l)
 	f.liveMembers.Store(&l)
 }
 
--- a/internal/process/fronter/roster.go
+++ b/internal/process/fronter/member_history.go
@@ -12,10 +12,10 @@
 const absentTimeout = 15 * timekeeper.Minute
 
 type (
-	// roster holds the members that may be alive: those that are heard, and those that were heard
+	// memberHistory holds the members that may be alive: those that are heard, and those that were heard
 	// and did not leave. A member divides by their number what the fleet may do in total, since a
 	// number of those heard would shrink at all members at once when they are cut from each other.
-	roster struct {
+	memberHistory struct {
 		lock    sync.Mutex
 		members map[string]sighting
 		// informed reports whether the members are known from another source. A process that
@@ -31,46 +31,46 @@
 )
 
 // observe records the members that are heard at a time, including this one.
-func (r *roster) observe(now timekeeper.Millis, heard []heartbeater.Member) {
-	r.lock.Lock()
-	defer r.lock.Unlock()
+func (h *memberHistory) observe(now timekeeper.Millis, heard []heartbeater.Member) {
+	h.lock.Lock()
+	defer h.lock.Unlock()
 	for _, m := range heard {
-		r.record(m.Name, sighting{at: now, leaving: m.Leaving})
+		h.record(m.Name, sighting{at: now, leaving: m.Leaving})
 	}
-	for name, s := range r.members {
+	for name, s := range h.members {
 		if s.leaving && s.at < now || now-s.at > absentTimeout {
-			delete(r.members, name)
+			delete(h.members, name)
 		}
 	}
 }
 
 // expect records members that are known from another source. They may be alive.
-func (r *roster) expect(now timekeeper.Millis, members []heartbeater.Member) {
-	r.lock.Lock()
-	defer r.lock.Unlock()
-	r.informed = true
+func (h *memberHistory) expect(now timekeeper.Millis, members []heartbeater.Member) {
+	h.lock.Lock()
+	defer h.lock.Unlock()
+	h.informed = true
 	for _, m := range members {
-		if _, known := r.members[m.Name]; !known {
-			r.record(m.Name, sighting{at: now})
+		if _, known := h.members[m.Name]; !known {
+			h.record(m.Name, sighting{at: now})
 		}
 	}
 }
 
 // record records a member. The caller must hold the lock.
-func (r *roster) record(name string, s sighting) {
-	if r.members == nil {
-		r.members = map[string]sighting{}
+func (h *memberHistory) record(name string, s sighting) {
+	if h.members == nil {
+		h.members = map[string]sighting{}
 	}
-	r.members[name] = s
+	h.members[name] = s
 }
 
 // size returns how many members may be alive, including this one, or 0 if only those are known that
 // are heard.
-func (r *roster) size() int {
-	r.lock.Lock()
-	defer r.lock.Unlock()
-	if !r.informed {
+func (h *memberHistory) size() int {
+	h.lock.Lock()
+	defer h.lock.Unlock()
+	if !h.informed {
 		return 0
 	}
-	return max(len(r.members), 1)
+	return max(len(h.members), 1)
 }
--- a/internal/request/dispatcher/retries_test.go
+++ b/internal/request/dispatcher/retries_test.go
@@ -59,3 +59,12 @@
 		})
 	}
 }
+
+func BenchmarkCountRequest(b *testing.B) {
+	r := &dispatcher.Retries{Limits: func() dispatcher.RetryLimits {
+		return dispatcher.RetryLimits{Ratio: 0.2, Burst: 2, Window: 10_000}
+	}}
+	for b.Loop() {
+		r.CountRequest("ledger")
+	}
+}
