dispatcher: a released retry decreases no counter

Cause: a retry that reached no upstream was taken off those granted since the last report.

Change: released retries are counted by themselves.

--- a/internal/request/dispatcher/retries.go
+++ b/internal/request/dispatcher/retries.go
@@ -49,10 +49,11 @@
 	// RetryUsage is the use of this daemon's part of the retry budget for one service.
 	RetryUsage struct {
 		Service resolver.ServiceName
-		// Granted and Refused count the retries since the last report. Granted is less those that
-		// were released, so it may be negative.
-		Granted int
-		Refused int
+		// Granted, Refused and Released count the retries since the last report. Those released were
+		// granted before, possibly before the last report.
+		Granted  int
+		Refused  int
+		Released int
 		// Requests and Retries are the counts within the window.
 		Requests int
 		Retries  int
@@ -90,9 +91,10 @@
 		// as often as it states.
 		threshold float64
 		drawnIn   int64
-		// granted and refused count the retries since the last report.
-		granted int
-		refused int
+		// granted, refused and released count the retries since the last report.
+		granted  int
+		refused  int
+		released int
 	}
 
 	span struct {
@@ -143,27 +145,27 @@
 	l := r.Limits()
 	w, p := r.update(s, l)
 	p.retries--
-	w.granted--
+	w.released++
 	w.add(1, l)
 }
 
-// Report returns the use of the budget for the services with retries granted or refused since the
-// last call, sorted by service.
+// Report returns the use of the budget for the services with retries since the last call, sorted by
+// service.
 func (r *Retries) Report() (list []RetryUsage) {
 	r.lock.Lock()
 	defer r.lock.Unlock()
 	for s, w := range r.services {
-		if w.granted == 0 && w.refused == 0 {
+		if w.granted+w.refused+w.released == 0 {
 			continue
 		}
 		l := r.Limits()
 		r.update(s, l)
 		requests, retries := w.sum(windowSpans)
 		list = append(list, RetryUsage{
-			Service: s, Granted: w.granted, Refused: w.refused, Limits: l,
+			Service: s, Granted: w.granted, Refused: w.refused, Released: w.released, Limits: l,
 			Requests: requests, Retries: retries, Left: w.tokens,
 		})
-		w.granted, w.refused = 0, 0
+		w.granted, w.refused, w.released = 0, 0, 0
 	}
 	slices.SortFunc(list, func(x, y RetryUsage) int { return cmp.Compare(x.Service, y.Service) })
 	return list
--- a/internal/request/dispatcher/retries_test.go
+++ b/internal/request/dispatcher/retries_test.go
@@ -41,6 +41,23 @@
 	is.Equal(len(r.Report()), 0)
 }
 
+// TestReleasedRetryDecreasesNoCounter guards against counts below zero, by which a counter panics:
+// a retry may be released in another report than it was granted in.
+func TestReleasedRetryDecreasesNoCounter(t *testing.T) {
+	is := is.New(t)
+	r := &dispatcher.Retries{Since: -10_000, Limits: func() dispatcher.RetryLimits {
+		return dispatcher.RetryLimits{Burst: 1, Window: 10_000}
+	}}
+	is.True(r.Acquire("ledger"))
+	is.Equal(r.Report()[0].Granted, 1)
+	r.Release("ledger")
+	l := r.Report()
+	is.Equal(len(l), 1)
+	is.Equal(l[0].Granted, 0)
+	is.Equal(l[0].Released, 1)
+	is.True(r.Acquire("ledger"))
+}
+
 // TestUnsentRetryIsChargedOnce guards against a request that uses up the retry budget by attempts
 // that reach no upstream.
 func TestUnsentRetryIsChargedOnce(t *testing.T) {
