--- a/internal/process/fronter/member_history.go
+++ b/internal/process/fronter/member_history.go
@@ -12,9 +12,9 @@
 const absentTimeout = 15 * timekeeper.Minute
 
 type (
-	// memberHistory holds the members that may be alive: those that are heard, and those that were heard
-	// and did not leave. A member divides by their number what the fleet may do in total, since a
-	// number of those heard would shrink at all members at once when they are cut from each other.
+	// memberHistory holds the members that may be alive: those that are heard, and those that were
+	// heard and did not leave. What the fleet may do in total is divided by their number. The number
+	// of those heard would shrink at all members at once when they are cut from each other.
 	memberHistory struct {
 		lock    sync.Mutex
 		members map[string]sighting
--- a/internal/request/dispatcher/retries.go
+++ b/internal/request/dispatcher/retries.go
@@ -29,11 +29,11 @@
 type (
 	// Retries limits one daemon's attempts beyond the first of each request. The limit applies
 	// to the whole fleet over a sliding window: a ratio of the requests for a service plus a
-	// burst. For each service a daemon has a token bucket. It gets the ratio with each request
-	// and its share of the burst over each window. Its size is the share of the burst and what the
-	// last requests have brought, so that in no window the daemons spend much more than
-	// the requests in it and twice the burst's shares allow, whichever daemons the requests reach
-	// and however often processes are replaced. Limits must be set before use.
+	// burst. For each service a daemon has a token bucket. Each request adds the ratio, and time
+	// adds the daemon's share of the burst once a window. The bucket holds that share and what the
+	// requests of the last carrySpans have added. So the sum over all daemons stays within the
+	// fleet's limit without coordination, also when callers move between daemons and when processes
+	// are replaced. Limits must be set before use.
 	Retries struct {
 		Limits func() RetryLimits
 		// Since is when the process started.
@@ -57,8 +57,8 @@
 		// Requests and Retries are the counts within the window.
 		Requests int
 		Retries  int
-		// Left is how many retries are left. A fraction is the probability of a further one, which
-		// makes it negative.
+		// Left is how many retries are left. A fraction is the probability of one more, after which
+		// Left is negative.
 		Left float64
 		// Limits is this daemon's part.
 		Limits RetryLimits
