--- a/internal/process/fronter/retries_test.go
+++ b/internal/process/fronter/retries_test.go
@@ -345,3 +345,16 @@
 		r.changeRates(random)
 	}
 }
+
+// TestLongPauseKeepsPartsOfTheRetryBurst guards against VMs that forget each other in a pause and
+// then take the whole of the burst, before they hear each other again.
+func TestLongPauseKeepsPartsOfTheRetryBurst(t *testing.T) {
+	r := newRetryFleet(modelRetryBurst, 1)
+	r.start(modelNames(0))
+	r.run(20 * timekeeper.Second)
+	r.cut = func(string, string) bool { return true }
+	r.now += 20 * timekeeper.Minute
+	r.refusing = true
+	r.run(modelRetryWindow)
+	r.check(t)
+}
