--- a/internal/connection/prober/prober.go
+++ b/internal/connection/prober/prober.go
@@ -50,7 +50,7 @@
 	// Prober tracks whether this VM reaches upstreams. Upstreams and Probe must be set before use.
 	Prober struct {
 		// Upstreams returns the upstreams that may be probed.
-		Upstreams func() []*cataloger.Upstream
+		Upstreams func() *cataloger.Pool
 		// Probe opens a connection to an upstream and reports the result to RecordReached or
 		// RecordUnreached.
 		Probe func(ctx context.Context, u *cataloger.Upstream)
@@ -98,7 +98,7 @@
 // Settle waits until ctx is done or it is known that this VM reaches some upstream, and reports
 // whether it does. Where there are no others to compare with, a failure tells nothing of this VM.
 func (p *Prober) Settle(ctx context.Context) bool {
-	if len(p.Upstreams()) < 2 {
+	if p.Upstreams().Len() < 2 {
 		return true
 	}
 	p.lock.Lock()
@@ -156,7 +156,7 @@
 // concludeCut is called after a round of probes. This VM is cut off if enough upstreams failed and
 // none was reached: results of one round arrive in any order.
 func (p *Prober) concludeCut() {
-	needed := max(min(cutAfter, len(p.Upstreams())), 1)
+	needed := max(min(cutAfter, p.Upstreams().Len()), 1)
 	p.lock.Lock()
 	changed := !p.cut && len(p.unreached) >= needed
 	p.cut = p.cut || changed
@@ -294,7 +294,7 @@
 // targets returns up to n upstreams to probe: random ones of different failure domains, those
 // nearby and those that did not fail first.
 func (p *Prober) targets(n int) []*cataloger.Upstream {
-	all := p.Upstreams()
+	all := sample(p.Upstreams())
 	p.lock.Lock()
 	defer p.lock.Unlock()
 	var chosen []*cataloger.Upstream
@@ -313,6 +313,18 @@
 	return chosen
 }
 
+// sample returns random upstreams of each site: as many as may fail before this VM counts as cut, and
+// one more.
+func sample(all *cataloger.Pool) (list []*cataloger.Upstream) {
+	for _, g := range all.Groups() {
+		from := rand.IntN(g.Len())
+		for i := range min(cutAfter+1, g.Len()) {
+			list = append(list, g.At((from+i)%g.Len()))
+		}
+	}
+	return list
+}
+
 // rank returns how well an upstream suits the next probe beside the chosen ones, 0 if not at all.
 func (p *Prober) rank(u *cataloger.Upstream, chosen []*cataloger.Upstream) int {
 	rank := 2 * (len(chosen) + 1)
--- a/internal/connection/prober/prober_test.go
+++ b/internal/connection/prober/prober_test.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"fmt"
+	"slices"
 	"sync"
 	"testing"
 	"time"
@@ -28,13 +29,16 @@
 
 func newNetwork(t *testing.T, size int) *network {
 	n := &network{down: map[string]bool{}, changes: make(chan prober.Change, 100)}
+	var c cataloger.Catalog
 	for i := range size {
-		n.upstreams = append(n.upstreams, &cataloger.Upstream{
+		c.Put(cataloger.Upstream{
 			ID: cataloger.UpstreamID(fmt.Sprint("u", i)), Address: fmt.Sprint("u", i), Site: registrar.Site(fmt.Sprint("east/", i%3)),
 		})
 	}
+	all := c.Current().AllUsable()
+	n.upstreams = slices.Collect(all.All())
 	n.Prober = &prober.Prober{
-		Upstreams: func() []*cataloger.Upstream { return n.upstreams },
+		Upstreams: func() *cataloger.Pool { return all },
 		Probe:     n.dial,
 		Site:      "east/0",
 		OnChange:  func(c prober.Change) { n.changes <- c },
--- a/internal/process/fronter/reach.go
+++ b/internal/process/fronter/reach.go
@@ -24,7 +24,7 @@
 
 func (f *Fronter) newProber() *prober.Prober {
 	return &prober.Prober{
-		Upstreams: func() []*cataloger.Upstream { return f.Catalog.Current().AllUsable() },
+		Upstreams: func() *cataloger.Pool { return f.Catalog.Current().AllUsable() },
 		Probe: func(ctx context.Context, u *cataloger.Upstream) {
 			f.Meter.Count("probes", measurer.Labels{})
 			// The dial reports its result to the prober.
--- a/internal/request/assigner/assigner.go
+++ b/internal/request/assigner/assigner.go
@@ -30,7 +30,7 @@
 	movesPerSecond = 3.0
 
 	// reliefInterval is the minimum time between searches for a less loaded upstream. A search
-	// takes time proportional to the number of upstreams, so most requests skip it.
+	// takes several times as long as finding the home, so most requests skip it.
 	reliefInterval = 50 * timekeeper.Millis(1)
 
 	// crowdedRatio is how many times the load of the least loaded candidate a home must have
@@ -92,7 +92,7 @@
 // Home returns the home of a key. A key without one, or whose home is gone or not allowed, is
 // assigned a new home, and a key may move from a crowded home. The Placement is zero if no
 // upstream takes the request.
-func (a *Assigner) Home(key hasher.Hash, r Request, all []*cataloger.Upstream) Placement {
+func (a *Assigner) Home(key hasher.Hash, r Request, all *cataloger.Pool) Placement {
 	now := a.Clock.Now()
 	a.lock.Lock()
 	defer a.lock.Unlock()
@@ -116,7 +116,7 @@
 }
 
 // HomeNotAllowed reports whether the home of a key is in a region that is not allowed.
-func (a *Assigner) HomeNotAllowed(key hasher.Hash, all []*cataloger.Upstream, allowed func(region string) bool) bool {
+func (a *Assigner) HomeNotAllowed(key hasher.Hash, all *cataloger.Pool, allowed func(region string) bool) bool {
 	a.lock.Lock()
 	defer a.lock.Unlock()
 	h := a.homes[key]
@@ -223,7 +223,7 @@
 
 // assignHome assigns a key a home among its candidates. h is its previous home, nil for a new
 // key.
-func (a *Assigner) assignHome(key hasher.Hash, h *home, r Request, all []*cataloger.Upstream, now timekeeper.Millis) Placement {
+func (a *Assigner) assignHome(key hasher.Hash, h *home, r Request, all *cataloger.Pool, now timekeeper.Millis) Placement {
 	u := a.leastLoaded(a.candidates(key, r, all))
 	if u == nil {
 		return Placement{}
@@ -244,29 +244,23 @@
 }
 
 // candidates returns the upstreams that a key's hash prefers in the region it is assigned to.
-func (a *Assigner) candidates(key hasher.Hash, r Request, all []*cataloger.Upstream) []*cataloger.Upstream {
+func (a *Assigner) candidates(key hasher.Hash, r Request, all *cataloger.Pool) []*cataloger.Upstream {
 	if r.Domain != "" {
-		inDomain := func(u *cataloger.Upstream) bool { return u.Site == r.Domain && r.Allowed(u.Site.Region()) }
-		if l := placer.CandidatesWhere(nil, key, all, inDomain); len(l) > 0 {
+		inDomain := func(s registrar.Site) bool { return s == r.Domain && r.Allowed(s.Region()) }
+		if l := placer.Candidates(nil, key, all, inDomain); len(l) > 0 {
 			return l
 		}
 	}
-	var fit []*cataloger.Upstream
-	for _, u := range all {
-		if r.Allowed(u.Site.Region()) {
-			fit = append(fit, u)
-		}
-	}
 	if a.Without.Has(switcher.HomeRegions) {
-		return placer.Candidates(nil, key, fit, func(string) bool { return true })
+		return placer.Candidates(nil, key, all, func(s registrar.Site) bool { return r.Allowed(s.Region()) })
 	}
-	region := a.regionSplit(r, fit).regionOf(key)
-	return placer.Candidates(nil, key, fit, func(name string) bool { return name == region })
+	region := a.regionSplit(r, all).regionOf(key)
+	return placer.Candidates(nil, key, all, func(s registrar.Site) bool { return s.Region() == region })
 }
 
 // reliefTarget returns an upstream with much less load than the home of a key, or nil if there
 // is none or no more keys may move now.
-func (a *Assigner) reliefTarget(key hasher.Hash, u *cataloger.Upstream, r Request, all []*cataloger.Upstream, now timekeeper.Millis) *cataloger.Upstream {
+func (a *Assigner) reliefTarget(key hasher.Hash, u *cataloger.Upstream, r Request, all *cataloger.Pool, now timekeeper.Millis) *cataloger.Upstream {
 	if a.Without.Has(switcher.Moves) || now-a.reliefCheckedAt < reliefInterval || a.refillTokens(now) < 1 {
 		return nil
 	}
@@ -360,11 +354,9 @@
 	a.weightEpoch = now
 }
 
-func findUpstream(all []*cataloger.Upstream, id hasher.Hash, allowed func(string) bool) *cataloger.Upstream {
-	for _, u := range all {
-		if u.Hash() == id && allowed(u.Site.Region()) {
-			return u
-		}
+func findUpstream(all *cataloger.Pool, id hasher.Hash, allowed func(string) bool) *cataloger.Upstream {
+	if u := all.Find(id); u != nil && allowed(u.Site.Region()) {
+		return u
 	}
 	return nil
 }
--- a/internal/request/assigner/assigner_test.go
+++ b/internal/request/assigner/assigner_test.go
@@ -37,7 +37,7 @@
 			})
 		}
 	}
-	all := c.Current().ByService("s")
+	all := slices.Collect(c.Current().ByService("s").All())
 	slices.SortFunc(all, func(x, y *cataloger.Upstream) int { return cmp.Compare(x.ID, y.ID) })
 	return &fixture{all: all}
 }
@@ -52,6 +52,8 @@
 
 func anyRegion(string) bool { return true }
 
+func anySite(registrar.Site) bool { return true }
+
 // anyRequest is a request of the only route, allowed in all regions.
 var anyRequest = assigner.Request{Service: "s", Route: "r", Objective: 500, Allowed: anyRegion}
 
@@ -74,7 +76,7 @@
 	is := is.New(t)
 	f := newFixture(8, 8, 8)
 	byHash := maxToMeanRatio(f.all, 450, func(k hasher.Hash) *cataloger.Upstream {
-		return placer.Candidates(nil, k, f.all, anyRegion)[0]
+		return placer.Candidates(nil, k, cataloger.NewPool(f.all), anySite)[0]
 	})
 	of := map[string]*assigner.Assigner{}
 	for _, r := range regions {
@@ -83,7 +85,7 @@
 	i := 0
 	byHome := maxToMeanRatio(f.all, 450, func(k hasher.Hash) *cataloger.Upstream {
 		i++
-		return of[regions[i%len(regions)]].Home(k, anyRequest, f.all).Upstream
+		return of[regions[i%len(regions)]].Home(k, anyRequest, cataloger.NewPool(f.all)).Upstream
 	})
 	t.Logf("most over mean: by hash %.2f, with homes %.2f", byHash, byHome)
 	is.True(byHash > 1.35)
@@ -98,7 +100,7 @@
 	local := func(region string) (n int) {
 		a := f.assigner(region)
 		for i := range 600 {
-			if a.Home(key(i), anyRequest, f.all).Upstream.Site.Region() == region {
+			if a.Home(key(i), anyRequest, cataloger.NewPool(f.all)).Upstream.Site.Region() == region {
 				n++
 			}
 		}
@@ -116,12 +118,12 @@
 	a := f.assigner("east")
 	first := map[int]*cataloger.Upstream{}
 	for i := range 50 {
-		first[i] = a.Home(key(i), anyRequest, f.all).Upstream
+		first[i] = a.Home(key(i), anyRequest, cataloger.NewPool(f.all)).Upstream
 	}
 	for range 200 {
 		f.now += 20
 		for i := range 50 {
-			is.Equal(a.Home(key(i), anyRequest, f.all).Upstream, first[i])
+			is.Equal(a.Home(key(i), anyRequest, cataloger.NewPool(f.all)).Upstream, first[i])
 		}
 	}
 }
@@ -130,18 +132,18 @@
 	is := is.New(t)
 	f := newFixture(4)
 	a := f.assigner("east")
-	gone := a.Home(key(1), anyRequest, f.all).Upstream
+	gone := a.Home(key(1), anyRequest, cataloger.NewPool(f.all)).Upstream
 	var rest []*cataloger.Upstream
 	for _, u := range f.all {
 		if u != gone {
 			rest = append(rest, u)
 		}
 	}
-	next := a.Home(key(1), anyRequest, rest).Upstream
+	next := a.Home(key(1), anyRequest, cataloger.NewPool(rest)).Upstream
 	is.True(next != gone)
 	// The key stays when the former home returns: moving back would cost a second uncached
 	// run.
-	is.Equal(a.Home(key(1), anyRequest, f.all).Upstream, next)
+	is.Equal(a.Home(key(1), anyRequest, cataloger.NewPool(f.all)).Upstream, next)
 }
 
 // TestKeysMoveFromCrowdedHomeAtLimitedRate checks that keys move from an overloaded upstream,
@@ -153,7 +155,7 @@
 	var hot *cataloger.Upstream
 	var kept []int
 	for i := range 200 {
-		u := a.Home(key(i), anyRequest, f.all).Upstream
+		u := a.Home(key(i), anyRequest, cataloger.NewPool(f.all)).Upstream
 		if hot == nil {
 			hot = u
 		}
@@ -166,11 +168,11 @@
 	moved := func(seconds int) (n int) {
 		for range seconds * 100 {
 			f.now += 10
-			a.Home(key(kept[turn%len(kept)]), anyRequest, f.all)
+			a.Home(key(kept[turn%len(kept)]), anyRequest, cataloger.NewPool(f.all))
 			turn++
 		}
 		for _, i := range kept {
-			if a.Home(key(i), anyRequest, f.all).Upstream != hot {
+			if a.Home(key(i), anyRequest, cataloger.NewPool(f.all)).Upstream != hot {
 				n++
 			}
 		}
@@ -192,7 +194,7 @@
 		if i%2 == 1 {
 			first, second = b, a
 		}
-		is.Equal(first.Home(key(i), anyRequest, f.all).Upstream, second.Home(key(i), anyRequest, f.all).Upstream)
+		is.Equal(first.Home(key(i), anyRequest, cataloger.NewPool(f.all)).Upstream, second.Home(key(i), anyRequest, cataloger.NewPool(f.all)).Upstream)
 	}
 	// Homes assigned concurrently on both sides converge.
 	c, d := f.assigner("east"), f.assigner("east")
@@ -200,13 +202,13 @@
 	c.Announce = func(l []assigner.Assignment) { ofC = append(ofC, l...) }
 	d.Announce = func(l []assigner.Assignment) { ofD = append(ofD, l...) }
 	for i := range 50 {
-		c.Home(key(i), anyRequest, f.all)
-		d.Home(key(49-i), anyRequest, f.all)
+		c.Home(key(i), anyRequest, cataloger.NewPool(f.all))
+		d.Home(key(49-i), anyRequest, cataloger.NewPool(f.all))
 	}
 	c.Merge(ofD)
 	d.Merge(ofC)
 	for i := range 50 {
-		is.Equal(c.Home(key(i), anyRequest, f.all).Upstream, d.Home(key(i), anyRequest, f.all).Upstream)
+		is.Equal(c.Home(key(i), anyRequest, cataloger.NewPool(f.all)).Upstream, d.Home(key(i), anyRequest, cataloger.NewPool(f.all)).Upstream)
 	}
 }
 
@@ -215,7 +217,7 @@
 	f := newFixture(24)
 	a := f.assigner("east")
 	for i := range assigner.MaxKeys {
-		a.Home(key(i), anyRequest, f.all)
+		a.Home(key(i), anyRequest, cataloger.NewPool(f.all))
 	}
 	for b.Loop() {
 		a.Forget()
@@ -224,13 +226,13 @@
 
 // BenchmarkHome measures the lookup of an existing home.
 func BenchmarkHome(b *testing.B) {
-	for _, n := range []int{24, 96, 621} {
+	for _, n := range []int{24, 621, 10_000, 20_000} {
 		b.Run(fmt.Sprint(n), func(b *testing.B) {
 			f := newFixture(n)
 			a := f.assigner("east")
-			k := key(1)
+			k, all := key(1), cataloger.NewPool(f.all)
 			for b.Loop() {
-				a.Home(k, anyRequest, f.all)
+				a.Home(k, anyRequest, all)
 			}
 		})
 	}
@@ -251,7 +253,7 @@
 	runAll := func(all []*cataloger.Upstream) (uncached int) {
 		for i := range 200 {
 			f.now += 5
-			u := a.Home(key(i), anyRequest, all).Upstream
+			u := a.Home(key(i), anyRequest, cataloger.NewPool(all)).Upstream
 			if !ran[key(i)][u] {
 				uncached++
 			}
@@ -280,7 +282,7 @@
 	is := is.New(t)
 	f := newFixture(8)
 	a := f.assigner("east")
-	h := a.Home(key(1), anyRequest, f.all).Upstream
+	h := a.Home(key(1), anyRequest, cataloger.NewPool(f.all)).Upstream
 	var others []*cataloger.Upstream
 	for _, u := range f.all {
 		if u != h {
@@ -288,14 +290,14 @@
 		}
 	}
 	a.RecordVisit(key(1), h) // the home itself is not recorded
-	is.Equal(len(a.Former(nil, key(1), f.all, anyRegion)), 0)
+	is.Equal(len(a.Former(nil, key(1), cataloger.NewPool(f.all), anyRegion)), 0)
 	for _, u := range others[:4] {
 		a.RecordVisit(key(1), u)
 	}
 	a.RecordVisit(key(1), others[2])
-	is.Equal(a.Former(nil, key(1), f.all, anyRegion), []*cataloger.Upstream{others[2], others[3], others[1]})
-	is.Equal(a.Former(nil, key(1), f.all, func(string) bool { return false }), nil)
-	is.Equal(a.Former(nil, key(2), f.all, anyRegion), nil)
+	is.Equal(a.Former(nil, key(1), cataloger.NewPool(f.all), anyRegion), []*cataloger.Upstream{others[2], others[3], others[1]})
+	is.Equal(a.Former(nil, key(1), cataloger.NewPool(f.all), func(string) bool { return false }), nil)
+	is.Equal(a.Former(nil, key(2), cataloger.NewPool(f.all), anyRegion), nil)
 }
 
 // TestTightestRouteStaysInCallersRegion has a region with 2 of 16 upstreams and a third of the
@@ -322,7 +324,7 @@
 			if at -= r.asked; at >= 0 {
 				continue
 			}
-			stays := a.Home(key(i), r.request, f.all).Upstream.Site.Region() == "east"
+			stays := a.Home(key(i), r.request, cataloger.NewPool(f.all)).Upstream.Site.Region() == "east"
 			if i < 1000 {
 				break // the demand of the routes is not known at first
 			}
@@ -341,3 +343,31 @@
 	carried := 3.0 * 2 / 16
 	is.True(nearWork/work > carried-0.05 && nearWork/work < carried+0.05)
 }
+
+// regionChecksOfNewKeys returns how often it is asked whether a new key may have its home in a region,
+// among n upstreams.
+func regionChecksOfNewKeys(n int) float64 {
+	const keys = 2000
+	f := newFixture(n/3, n/3, n/3)
+	all := cataloger.NewPool(f.all)
+	a := f.assigner("east")
+	checks := 0
+	r := anyRequest
+	r.Allowed = func(string) bool {
+		checks++
+		return true
+	}
+	for i := range keys {
+		a.Home(key(i), r, all)
+	}
+	return float64(checks) / keys
+}
+
+// TestNewHomeCostDoesNotGrowWithUpstreams guards against requests whose work is proportional to the
+// upstreams of their service.
+func TestNewHomeCostDoesNotGrowWithUpstreams(t *testing.T) {
+	is := is.New(t)
+	n, twice := regionChecksOfNewKeys(4500), regionChecksOfNewKeys(9000)
+	t.Logf("%.1f and %.1f checks a new key", n, twice)
+	is.True(twice < 1.2*n)
+}
--- a/internal/request/assigner/domain.go
+++ b/internal/request/assigner/domain.go
@@ -14,7 +14,7 @@
 //
 // While the daemon's own domain has no upstreams of the service, its requests use the homes of
 // another domain, which know the keys.
-func (a *Assigner) Localize(key hasher.Hash, r Request, all []*cataloger.Upstream) (hasher.Hash, registrar.Site) {
+func (a *Assigner) Localize(key hasher.Hash, r Request, all *cataloger.Pool) (hasher.Hash, registrar.Site) {
 	if a.Domains < 2 || a.Without.Has(switcher.DomainHomes) || !r.Allowed(a.Region) {
 		return key, ""
 	}
@@ -35,11 +35,11 @@
 // domainOf returns the failure domain of the region that a key belongs to for this daemon's
 // callers, "" if none has upstreams. A domain with fewer slots than its share of the region's
 // leaves the rest of its keys to the others.
-func (a *Assigner) domainOf(key hasher.Hash, all []*cataloger.Upstream) registrar.Site {
+func (a *Assigner) domainOf(key hasher.Hash, all *cataloger.Pool) registrar.Site {
 	slots := map[string]float64{}
-	for _, u := range all {
-		if u.Site.Region() == a.Region {
-			slots[string(u.Site)] += float64(max(u.Slots, 1))
+	for _, g := range all.Groups() {
+		if g.Site.Region() == a.Region {
+			slots[string(g.Site)] = float64(g.Slots)
 		}
 	}
 	own := func(fraction float64) float64 { return fraction }
@@ -49,7 +49,7 @@
 // homeInRegion reports whether a key has its homes in this region. A key that has a home stays
 // where it is, since a move costs a run at an upstream that does not know it. The caller holds
 // the lock.
-func (a *Assigner) homeInRegion(key hasher.Hash, site registrar.Site, r Request, all []*cataloger.Upstream) bool {
+func (a *Assigner) homeInRegion(key hasher.Hash, site registrar.Site, r Request, all *cataloger.Pool) bool {
 	if a.homes[domainKey(key, site)] != nil {
 		return true
 	}
@@ -61,11 +61,5 @@
 	if a.Without.Has(switcher.HomeRegions) {
 		return true
 	}
-	var fit []*cataloger.Upstream
-	for _, u := range all {
-		if r.Allowed(u.Site.Region()) {
-			fit = append(fit, u)
-		}
-	}
-	return a.regionSplit(r, fit).regionOf(key) == a.Region
+	return a.regionSplit(r, all).regionOf(key) == a.Region
 }
--- a/internal/request/assigner/domain_test.go
+++ b/internal/request/assigner/domain_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"slices"
 	"testing"
 
 	"github.com/matryer/is"
@@ -24,7 +25,7 @@
 			c.Put(cataloger.Upstream{ID: cataloger.UpstreamID(fmt.Sprint(site, i)), Service: "s", Site: site, Slots: 3})
 		}
 	}
-	return &fixture{all: c.Current().ByService("s")}
+	return &fixture{all: slices.Collect(c.Current().ByService("s").All())}
 }
 
 // inDomain returns an assigner of a daemon in a failure domain of a region with two.
@@ -37,8 +38,8 @@
 // place returns the home of a key whose requests have large bodies.
 func place(a *assigner.Assigner, k hasher.Hash, all []*cataloger.Upstream) *cataloger.Upstream {
 	r := anyRequest
-	k, r.Domain = a.Localize(k, r, all)
-	return a.Home(k, r, all).Upstream
+	k, r.Domain = a.Localize(k, r, cataloger.NewPool(all))
+	return a.Home(k, r, cataloger.NewPool(all)).Upstream
 }
 
 // exclude returns the upstreams outside a failure domain.
--- a/internal/request/assigner/former.go
+++ b/internal/request/assigner/former.go
@@ -36,7 +36,7 @@
 }
 
 // Former appends to l the upstreams other than its home that ran a key recently.
-func (a *Assigner) Former(l []*cataloger.Upstream, key hasher.Hash, all []*cataloger.Upstream, allowed func(region string) bool) []*cataloger.Upstream {
+func (a *Assigner) Former(l []*cataloger.Upstream, key hasher.Hash, all *cataloger.Pool, allowed func(region string) bool) []*cataloger.Upstream {
 	a.lock.Lock()
 	defer a.lock.Unlock()
 	if h := a.homes[key]; h != nil {
@@ -64,7 +64,7 @@
 
 // formerUpstreams appends to l the upstreams other than the home h that are likely to know the
 // key.
-func (a *Assigner) formerUpstreams(l []*cataloger.Upstream, h *home, all []*cataloger.Upstream, allowed func(string) bool) []*cataloger.Upstream {
+func (a *Assigner) formerUpstreams(l []*cataloger.Upstream, h *home, all *cataloger.Pool, allowed func(string) bool) []*cataloger.Upstream {
 	if a.Without.Has(switcher.FormerHomes) {
 		return l
 	}
--- a/internal/request/assigner/load_test.go
+++ b/internal/request/assigner/load_test.go
@@ -133,7 +133,7 @@
 // visitPolicy sends a key to the next of its candidates while the first is full. The key has
 // no home that could move there.
 func visitPolicy(k hasher.Hash, all []*cataloger.Upstream, states func([]*cataloger.Upstream) []placer.State) *cataloger.Upstream {
-	list := placer.Candidates(nil, k, all, anyRegion)
+	list := placer.Candidates(nil, k, cataloger.NewPool(all), anySite)
 	i, _ := placer.Placer{}.Choose(states(list), true)
 	if i >= 0 {
 		return list[i]
@@ -144,8 +144,8 @@
 // homePolicy keeps a key at its home or moves it.
 func homePolicy(a *assigner.Assigner) policy {
 	return func(k hasher.Hash, all []*cataloger.Upstream, states func([]*cataloger.Upstream) []placer.State) *cataloger.Upstream {
-		list := []*cataloger.Upstream{a.Home(k, anyRequest, all).Upstream}
-		for _, u := range placer.Candidates(nil, k, all, anyRegion) {
+		list := []*cataloger.Upstream{a.Home(k, anyRequest, cataloger.NewPool(all)).Upstream}
+		for _, u := range placer.Candidates(nil, k, cataloger.NewPool(all), anySite) {
 			if u != list[0] {
 				list = append(list, u)
 			}
--- a/internal/request/assigner/placement.go
+++ b/internal/request/assigner/placement.go
@@ -86,7 +86,7 @@
 }
 
 // lossReason returns why a key cannot stay at its home: it is gone, or not allowed.
-func (h *home) lossReason(all []*cataloger.Upstream) Reason {
+func (h *home) lossReason(all *cataloger.Pool) Reason {
 	if findUpstream(all, h.upstream, anyRegion) != nil {
 		return HomeNotAllowed
 	}
--- a/internal/request/assigner/placement_test.go
+++ b/internal/request/assigner/placement_test.go
@@ -23,15 +23,15 @@
 	is := is.New(t)
 	f := newFixture(4)
 	a := f.assigner("east")
-	first := a.Home(key(1), anyRequest, f.all)
+	first := a.Home(key(1), anyRequest, cataloger.NewPool(f.all))
 	is.Equal(first, assigner.Placement{Upstream: first.Upstream, Reason: assigner.NewKey})
-	is.Equal(a.Home(key(1), anyRequest, f.all), assigner.Placement{Upstream: first.Upstream, Reason: assigner.AtHome})
+	is.Equal(a.Home(key(1), anyRequest, cataloger.NewPool(f.all)), assigner.Placement{Upstream: first.Upstream, Reason: assigner.AtHome})
 
 	rest := without(f.all, first.Upstream)
-	second := a.Home(key(1), anyRequest, rest)
+	second := a.Home(key(1), anyRequest, cataloger.NewPool(rest))
 	is.Equal(second, assigner.Placement{Upstream: second.Upstream, Reason: assigner.HomeGone, Left: first.Upstream})
 
-	back := a.Home(key(1), anyRequest, without(f.all, second.Upstream))
+	back := a.Home(key(1), anyRequest, cataloger.NewPool(without(f.all, second.Upstream)))
 	is.Equal(back, assigner.Placement{Upstream: first.Upstream, Reason: assigner.HomeGone, Former: true, Left: second.Upstream})
 	is.Equal(back.Kind(), "home gone, former home")
 
@@ -46,7 +46,7 @@
 	a := f.assigner("east")
 	gone := f.all[0]
 	a.Merge([]assigner.Assignment{{Key: key(1), Upstream: gone.Hash(), Version: 1}})
-	p := a.Home(key(1), anyRequest, without(f.all, gone))
+	p := a.Home(key(1), anyRequest, cataloger.NewPool(without(f.all, gone)))
 	is.Equal(p, assigner.Placement{Upstream: p.Upstream, Reason: assigner.HomeGone})
 }
 
@@ -54,10 +54,10 @@
 	is := is.New(t)
 	f := newFixture(4, 4)
 	a := f.assigner("east")
-	was := a.Home(key(1), anyRequest, f.all).Upstream
+	was := a.Home(key(1), anyRequest, cataloger.NewPool(f.all)).Upstream
 	elsewhere := anyRequest
 	elsewhere.Allowed = func(region string) bool { return region != was.Site.Region() }
-	p := a.Home(key(1), elsewhere, f.all)
+	p := a.Home(key(1), elsewhere, cataloger.NewPool(f.all))
 	is.Equal(p, assigner.Placement{Upstream: p.Upstream, Reason: assigner.HomeNotAllowed, Left: was})
 	is.True(p.Upstream.Site.Region() != was.Site.Region())
 }
@@ -66,12 +66,12 @@
 	is := is.New(t)
 	f := newFixture(2)
 	a := f.assigner("east")
-	home := a.Home(key(1), anyRequest, f.all).Upstream
+	home := a.Home(key(1), anyRequest, cataloger.NewPool(f.all)).Upstream
 	other := without(f.all, home)[0]
 	is.Equal(a.Move(key(1), home), assigner.Placement{}) // already its home
 	f.now += 1000
 	is.Equal(a.Move(key(1), other), assigner.Placement{Upstream: other, Reason: assigner.HomeFull, Left: home})
-	is.Equal(a.Home(key(1), anyRequest, f.all).Reason, assigner.AtHome)
+	is.Equal(a.Home(key(1), anyRequest, cataloger.NewPool(f.all)).Reason, assigner.AtHome)
 	f.now += 1000
 	is.Equal(a.Move(key(1), home), assigner.Placement{Upstream: home, Reason: assigner.HomeFull, Former: true, Left: other})
 }
@@ -91,7 +91,7 @@
 	relieved := 0
 	for i := range 40 {
 		f.now += 100
-		p := a.Home(key(i), anyRequest, f.all)
+		p := a.Home(key(i), anyRequest, cataloger.NewPool(f.all))
 		if p.Reason == assigner.HomeCrowded {
 			relieved++
 			is.True(p.Upstream != hot)
@@ -107,7 +107,7 @@
 	f := newFixture(2)
 	a := f.assigner("east")
 	for i := range assigner.MaxKeys {
-		is.Equal(a.Home(key(i), anyRequest, f.all).Reason, assigner.NewKey)
+		is.Equal(a.Home(key(i), anyRequest, cataloger.NewPool(f.all)).Reason, assigner.NewKey)
 	}
-	is.Equal(a.Home(key(assigner.MaxKeys), anyRequest, f.all).Reason, assigner.Untracked)
+	is.Equal(a.Home(key(assigner.MaxKeys), anyRequest, cataloger.NewPool(f.all)).Reason, assigner.Untracked)
 }
--- a/internal/request/assigner/region.go
+++ b/internal/request/assigner/region.go
@@ -21,14 +21,16 @@
 	regionSplit []regionShare
 )
 
-// regionSplit distributes the keys of a request's route among regions so that, if each
+// regionSplit distributes the keys of a request's route among the allowed regions so that, if each
 // region had the same demand, all of them would be loaded in proportion to their slots. As
 // many keys as possible stay in the region of their callers, those of the tightest routes
 // first. Actual demand differs and changes; keys that overload a region are moved one by one.
-func (a *Assigner) regionSplit(r Request, all []*cataloger.Upstream) regionSplit {
+func (a *Assigner) regionSplit(r Request, all *cataloger.Pool) regionSplit {
 	slots := map[string]float64{}
-	for _, u := range all {
-		slots[u.Site.Region()] += float64(max(u.Slots, 1))
+	for _, g := range all.Groups() {
+		if region := g.Site.Region(); r.Allowed(region) {
+			slots[region] += float64(g.Slots)
+		}
 	}
 	return splitBySlots(slots, a.Region, len(a.Regions), func(own float64) float64 {
 		if a.Without.Has(switcher.TightRoutes) {
--- a/internal/request/assigner/shed_test.go
+++ b/internal/request/assigner/shed_test.go
@@ -37,8 +37,8 @@
 
 // choose selects the upstream of one attempt.
 func (s *shedFixture) choose(k hasher.Hash, refused *cataloger.Upstream) *cataloger.Upstream {
-	list := []*cataloger.Upstream{s.homes.Home(k, anyRequest, s.all).Upstream}
-	for _, u := range placer.Candidates(nil, k, s.all, anyRegion) {
+	list := []*cataloger.Upstream{s.homes.Home(k, anyRequest, cataloger.NewPool(s.all)).Upstream}
+	for _, u := range placer.Candidates(nil, k, cataloger.NewPool(s.all), anySite) {
 		if u != list[0] {
 			list = append(list, u)
 		}
--- a/internal/request/assigner/switched_off_test.go
+++ b/internal/request/assigner/switched_off_test.go
@@ -41,25 +41,25 @@
 func countMoves(s switcher.Set) (moved int) {
 	f := newFixture(4)
 	a := f.assignerWithout("east", s)
-	hot := a.Home(key(0), anyRequest, f.all).Upstream
+	hot := a.Home(key(0), anyRequest, cataloger.NewPool(f.all)).Upstream
 	var kept []int
 	for i := range 200 {
-		if a.Home(key(i), anyRequest, f.all).Upstream == hot {
+		if a.Home(key(i), anyRequest, cataloger.NewPool(f.all)).Upstream == hot {
 			kept = append(kept, i)
 		}
 	}
 	for n := range 500 {
 		f.now += 10
-		a.Home(key(kept[n%len(kept)]), anyRequest, f.all)
+		a.Home(key(kept[n%len(kept)]), anyRequest, cataloger.NewPool(f.all))
 	}
 	for _, i := range kept {
-		if a.Home(key(i), anyRequest, f.all).Upstream != hot {
+		if a.Home(key(i), anyRequest, cataloger.NewPool(f.all)).Upstream != hot {
 			moved++
 		}
 	}
 	f.now += 10_000
 	for _, u := range f.all {
-		if u != a.Home(key(0), anyRequest, f.all).Upstream && a.Move(key(0), u).Upstream != nil {
+		if u != a.Home(key(0), anyRequest, cataloger.NewPool(f.all)).Upstream && a.Move(key(0), u).Upstream != nil {
 			moved++
 		}
 	}
@@ -71,13 +71,13 @@
 func countFormerHomes(s switcher.Set) int {
 	f := newFixture(8)
 	a := f.assignerWithout("east", s)
-	home := a.Home(key(1), anyRequest, f.all).Upstream
+	home := a.Home(key(1), anyRequest, cataloger.NewPool(f.all)).Upstream
 	for _, u := range f.all {
 		if u != home {
 			a.RecordVisit(key(1), u)
 		}
 	}
-	return len(a.Former(nil, key(1), f.all, anyRegion))
+	return len(a.Former(nil, key(1), cataloger.NewPool(f.all), anyRegion))
 }
 
 // loosestRouteLeaves returns 1 if no key of the loosest route stays in a small region that can
@@ -94,7 +94,7 @@
 		if i%2 == 0 {
 			r = loose
 		}
-		if stays(a.Home(key(i), r, f.all).Upstream) && i >= 1000 && i%2 == 0 {
+		if stays(a.Home(key(i), r, cataloger.NewPool(f.all)).Upstream) && i >= 1000 && i%2 == 0 {
 			return 0
 		}
 	}
@@ -106,7 +106,7 @@
 	f := newFixture(8, 8, 8)
 	a := f.assignerWithout("east", s)
 	for i := range 100 {
-		if a.Home(key(i), anyRequest, f.all).Upstream.Site.Region() != "east" {
+		if a.Home(key(i), anyRequest, cataloger.NewPool(f.all)).Upstream.Site.Region() != "east" {
 			return 0
 		}
 	}
--- a/internal/request/dispatcher/announcement.go
+++ b/internal/request/dispatcher/announcement.go
@@ -76,8 +76,8 @@
 		return 0
 	}
 	soonest := timekeeper.Millis(0)
-	for _, u := range x.d.Catalog().ByService(x.service) {
-		if !x.allowsUpstream(u) {
+	for u := range x.d.Catalog().ByService(x.service).All() {
+		if !x.allowsSite(u.Site) {
 			continue
 		}
 		t := x.d.Upstreams.StateOf(u)
--- a/internal/request/dispatcher/announcement_test.go
+++ b/internal/request/dispatcher/announcement_test.go
@@ -16,6 +16,7 @@
 	"github.com/gullvale/gullvale/internal/version/cataloger"
 	"github.com/gullvale/gullvale/internal/version/matcher"
 	"github.com/gullvale/gullvale/pkg/hasher"
+	"github.com/gullvale/gullvale/pkg/registrar"
 )
 
 // announcesLeaving adds the announcement to the response of serve.
@@ -119,7 +120,7 @@
 		k := fmt.Sprint("k", n)
 		all := s.catalog.Current().ByService("s")
 		route := s.Config().Match("h.example", "/x")
-		if placer.Candidates(nil, hasher.Mix(hasher.OfString(k), route.Hash()), all, func(string) bool { return true })[0].ID == "former" {
+		if placer.Candidates(nil, hasher.Mix(hasher.OfString(k), route.Hash()), all, func(registrar.Site) bool { return true })[0].ID == "former" {
 			key = k
 		}
 	}
--- a/internal/request/dispatcher/choose.go
+++ b/internal/request/dispatcher/choose.go
@@ -7,6 +7,7 @@
 	"github.com/gullvale/gullvale/internal/request/assigner"
 	"github.com/gullvale/gullvale/internal/request/placer"
 	"github.com/gullvale/gullvale/internal/version/cataloger"
+	"github.com/gullvale/gullvale/pkg/registrar"
 )
 
 // maxCandidates bounds the upstreams considered for a request: its key's home, those that ran
@@ -54,8 +55,7 @@
 			return nil, placer.Gone
 		}
 		list = append(list, home)
-		// Most requests are placed here. Searching for more candidates takes time proportional
-		// to the number of upstreams of the service.
+		// Most requests are placed here, without a search for more candidates.
 		state := x.state(home)
 		state.KnowsKey = true
 		p := x.placer()
@@ -67,7 +67,7 @@
 		list = x.d.Homes.Former(list, x.key, all, x.allowsRegion)
 	}
 	known := len(list)
-	list = x.appendCandidates(list, all, x.allowsUpstream)
+	list = x.appendCandidates(list, all, nil)
 	var states [maxCandidates]placer.State
 	if !x.fillStates(list, states[:], known) {
 		// Terminated upstreams stay in the catalog while the store is unavailable. Daemons
@@ -100,7 +100,7 @@
 
 // home returns the home of the request's key. It keeps the reason for that placement, since
 // the reason applies to all attempts of the request.
-func (x *exchange) home(all []*cataloger.Upstream) *cataloger.Upstream {
+func (x *exchange) home(all *cataloger.Pool) *cataloger.Upstream {
 	p := x.d.Homes.Home(x.key, x.homeRequest(), all)
 	if p.Reason != assigner.AtHome || p.Upstream != x.homePlacement.Upstream {
 		x.homePlacement = p
@@ -162,26 +162,22 @@
 	return reachable
 }
 
-// allowsUpstream reports whether route and organisation allow the request to run at u.
-func (x *exchange) allowsUpstream(u *cataloger.Upstream) bool {
-	return x.allowsRegion(u.Site.Region())
+// allowsSite reports whether route and organisation allow the request to run at a site.
+func (x *exchange) allowsSite(site registrar.Site) bool {
+	return x.allowsRegion(site.Region())
 }
 
-// usable reports whether u is allowed, reachable and, if it is cold, has warm-up room. It
-// costs much more than allowsUpstream.
+// usable reports whether u is reachable and, if it is cold, has warm-up room.
 func (x *exchange) usable(u *cataloger.Upstream) bool {
-	if !x.allowsUpstream(u) {
-		return false
-	}
 	s := x.state(u)
 	return s.Reachable() && !s.Cold
 }
 
-// appendCandidates appends to l, which may hold the key's home, those upstreams accepted by
-// accept that the hash of the request's key prefers.
-func (x *exchange) appendCandidates(l, all []*cataloger.Upstream, accept func(*cataloger.Upstream) bool) []*cataloger.Upstream {
+// appendCandidates appends to l, which may hold the key's home, those allowed upstreams accepted by
+// accept that the hash of the request's key prefers. Nil accepts all.
+func (x *exchange) appendCandidates(l []*cataloger.Upstream, all *cataloger.Pool, accept func(*cataloger.Upstream) bool) []*cataloger.Upstream {
 	var space [placer.MaxCandidates]*cataloger.Upstream
-	for _, u := range placer.CandidatesWhere(space[:0], x.placementKey(), all, accept) {
+	for _, u := range placer.CandidatesWhere(space[:0], x.placementKey(), all, x.allowsSite, accept) {
 		if !slices.Contains(l, u) && len(l) < cap(l) {
 			l = append(l, u)
 		}
--- a/internal/request/dispatcher/identify.go
+++ b/internal/request/dispatcher/identify.go
@@ -82,7 +82,7 @@
 // their requests.
 //
 // A key of a route with large bodies may have a home in each failure domain.
-func (x *exchange) selectHomeKey(all []*cataloger.Upstream) {
+func (x *exchange) selectHomeKey(all *cataloger.Pool) {
 	x.key, x.homeDomain = x.sharedKey, ""
 	if b := x.organisation.RegionsHash(); b != 0 && x.d.Homes.HomeNotAllowed(x.key, all, x.allowsRegion) {
 		x.key = hasher.Mix(x.key, b)
--- a/internal/request/dispatcher/near_test.go
+++ b/internal/request/dispatcher/near_test.go
@@ -85,7 +85,7 @@
 	is := is.New(t)
 	s, dials := newFarHarness(t, matcher.Idempotent)
 	s.add(t, "u", succeeds)
-	u := s.catalog.Current().AllUsable()[0]
+	u := s.catalog.Current().AllUsable().Groups()[0].At(0)
 	is.NoErr(s.Upstreams.StateOf(u).Pool.Check(context.Background()))
 	p, _ := s.do(http.MethodGet, "id", nil)
 	is.Equal(p.StatusCode, 200)
--- a/internal/request/dispatcher/switched_off_test.go
+++ b/internal/request/dispatcher/switched_off_test.go
@@ -126,7 +126,7 @@
 	s.Upstreams.Clock = timekeeper.Clock{Monotonic: func() timekeeper.Millis { return 1000 }}
 	s.do(http.MethodGet, "first", nil)
 	all, _ := s.Homes.All()
-	for _, u := range s.catalog.Current().ByService("s") {
+	for u := range s.catalog.Current().ByService("s").All() {
 		r := tracker.Report{Running: 4, Slots: 4}
 		if u.Hash() == all[0].Upstream {
 			r.Waiting = 20
--- a/internal/request/placer/place.go
+++ b/internal/request/placer/place.go
@@ -2,17 +2,10 @@
 
 import (
 	"github.com/gullvale/gullvale/internal/process/switcher"
-	"github.com/gullvale/gullvale/internal/version/cataloger"
-	"github.com/gullvale/gullvale/pkg/hasher"
 	"github.com/gullvale/gullvale/pkg/timekeeper"
 )
 
 const (
-	// MaxCandidates is the maximum number of candidate upstreams of a key. Without a bound, an
-	// overload spreads keys to upstreams that do not know them, whose work grows, and the
-	// service does not recover.
-	MaxCandidates = 3
-
 	// urgentQueueFactor is the number of running and waiting requests, as a multiple of its
 	// slots, that an upstream may report before the next candidate is considered. Waiting that
 	// long takes less time than running the key on an upstream that does not know it.
@@ -132,45 +125,6 @@
 	return s.Reported < idleFactor*float64(max(s.Slots, 1))
 }
 
-// Candidates appends to l the preferred upstreams of a key, best first: the rendezvous-hash
-// order of the upstreams in the regions for which allowed returns true. Adding or removing an
-// upstream moves only its own keys.
-func Candidates(l []*cataloger.Upstream, key hasher.Hash, all []*cataloger.Upstream, allowed func(region string) bool) []*cataloger.Upstream {
-	return CandidatesWhere(l, key, all, func(u *cataloger.Upstream) bool { return allowed(u.Site.Region()) })
-}
-
-// CandidatesWhere is like Candidates, with a filter on upstreams instead of regions.
-func CandidatesWhere(l []*cataloger.Upstream, key hasher.Hash, all []*cataloger.Upstream, match func(*cataloger.Upstream) bool) []*cataloger.Upstream {
-	var scores [MaxCandidates]hasher.Hash
-	for _, u := range all {
-		if !match(u) {
-			continue
-		}
-		l = insert(l, &scores, u, hasher.Mix(key, u.Hash()))
-	}
-	return l
-}
-
-// insert adds u to l, which is sorted by descending score and has at most MaxCandidates elements.
-func insert(l []*cataloger.Upstream, scores *[MaxCandidates]hasher.Hash, u *cataloger.Upstream, h hasher.Hash) []*cataloger.Upstream {
-	n := len(l)
-	at := n
-	for at > 0 && h > scores[at-1] {
-		at--
-	}
-	if at >= MaxCandidates {
-		return l
-	}
-	if n < MaxCandidates {
-		l = append(l, nil)
-		n++
-	}
-	copy(l[at+1:n], l[at:n-1])
-	copy(scores[at+1:n], scores[at:n-1])
-	l[at], scores[at] = u, h
-	return l
-}
-
 // Check returns Accepts if the upstream takes a request now, and otherwise the reason it does
 // not. urgent marks a request of the most urgent rank of its service.
 func (p Placer) Check(s State, urgent bool) Verdict {
--- a/internal/request/placer/place_test.go
+++ b/internal/request/placer/place_test.go
@@ -3,6 +3,7 @@
 import (
 	"fmt"
 	"math/rand/v2"
+	"slices"
 	"testing"
 
 	"github.com/matryer/is"
@@ -19,10 +20,10 @@
 		site := registrar.Site(fmt.Sprintf("region%d/domain%d", i%3, i%6))
 		c.Put(cataloger.Upstream{ID: cataloger.UpstreamID(fmt.Sprint("u", i)), Service: "s", Site: site, Slots: 6})
 	}
-	return c.Current().ByService("s")
+	return slices.Collect(c.Current().ByService("s").All())
 }
 
-func anyRegion(string) bool { return true }
+func anySite(registrar.Site) bool { return true }
 
 func TestRemovingUpstreamMovesOnlyItsKeys(t *testing.T) {
 	is := is.New(t)
@@ -36,8 +37,8 @@
 	}
 	for k := range 500 {
 		key := hasher.OfString(fmt.Sprint("key", k))
-		before := placer.Candidates(nil, key, all, anyRegion)
-		after := placer.Candidates(nil, key, rest, anyRegion)
+		before := placer.Candidates(nil, key, cataloger.NewPool(all), anySite)
+		after := placer.Candidates(nil, key, cataloger.NewPool(rest), anySite)
 		is.Equal(len(before), placer.MaxCandidates)
 		if before[0] == gone {
 			is.Equal(after[0], before[1]) // the next in the order takes over
@@ -50,7 +51,7 @@
 func TestCandidatesAreInAllowedRegions(t *testing.T) {
 	is := is.New(t)
 	for k := range 100 {
-		list := placer.Candidates(nil, hasher.OfString(fmt.Sprint(k)), catalog(24), func(r string) bool { return r == "region1" })
+		list := placer.Candidates(nil, hasher.OfString(fmt.Sprint(k)), cataloger.NewPool(catalog(24)), func(s registrar.Site) bool { return s.Region() == "region1" })
 		is.Equal(len(list), placer.MaxCandidates)
 		for _, u := range list {
 			is.Equal(u.Site.Region(), "region1")
--- a/internal/version/cataloger/catalog.go
+++ b/internal/version/cataloger/catalog.go
@@ -2,7 +2,6 @@
 
 import (
 	"maps"
-	"slices"
 	"sync"
 	"sync/atomic"
 
@@ -52,13 +51,20 @@
 	// Snapshot is an immutable view of the catalog.
 	Snapshot struct {
 		// Change is the sequence number of the snapshot within this process.
-		Change   uint64
-		services map[resolver.ServiceName][]*Upstream
-		usable   map[UpstreamID]*Upstream
-		// listsAny reports whether there are upstreams, usable or not. announced holds the
-		// departures that only announcements tell of, and announcedDigest a digest of them.
-		listsAny        bool
-		announced       []Departure
+		Change uint64
+		view
+		// listsAny reports whether there are upstreams, usable or not.
+		listsAny bool
+	}
+
+	// view is what a snapshot shows. A change of it takes time logarithmic in the number of
+	// upstreams.
+	view struct {
+		services map[resolver.ServiceName]*Pool
+		usable   *Pool
+		// announced holds the upstreams of whose departures only announcements tell, and
+		// announcedDigest a digest of these.
+		announced       *Pool
 		announcedDigest hasher.Hash
 	}
 
@@ -75,6 +81,10 @@
 		// departures are the upstreams that announced in a response that they leave.
 		departures map[Departure]bool
 		current    atomic.Pointer[Snapshot]
+		// next is what the next snapshot shows. batch numbers the snapshots: what has another
+		// number is published and must not be modified.
+		next  view
+		batch uint64
 		// openBatches is the number of batches in progress. dirty reports whether one
 		// of them has changed anything.
 		openBatches int
@@ -82,10 +92,10 @@
 	}
 )
 
-// maxRemovedStarts is the number of removed upstreams whose start time is kept. A delayed
-// report arrives within seconds, and in that time a fleet of hundreds of upstreams
-// replaces some tens of them.
-const maxRemovedStarts = 1000
+// minRemoved is the number of removed upstreams of which a catalog keeps what later reports must not
+// contradict, where fewer are listed. A delayed report arrives within seconds, and in that time a
+// release replaces a part of those listed.
+const minRemoved = 1000
 
 var emptySnapshot Snapshot
 
@@ -99,11 +109,13 @@
 	return Incarnation{u.ID, u.Born}
 }
 
-func (u *Upstream) setHash() {
-	u.hash = hasher.OfString(string(u.ID))
-	if u.Born != 0 {
-		u.hash = hasher.Mix(u.hash, hasher.Hash(u.Born))
+// hash returns the hash that identifies the incarnation.
+func (i Incarnation) hash() hasher.Hash {
+	h := hasher.OfString(string(i.ID))
+	if i.Born != 0 {
+		h = hasher.Mix(h, hasher.Hash(i.Born))
 	}
+	return h
 }
 
 // Cold reports whether u is cold at a time on the monotonic clock.
@@ -119,29 +131,26 @@
 	return &emptySnapshot
 }
 
-// ByService returns the upstreams of a service that accept new requests. The caller must not
-// modify the slice.
-func (s *Snapshot) ByService(name resolver.ServiceName) []*Upstream {
+// ByService returns the upstreams of a service that accept new requests.
+func (s *Snapshot) ByService(name resolver.ServiceName) *Pool {
 	return s.services[name]
 }
 
 // Usable returns the upstream if this incarnation of it accepts new requests, and nil
 // otherwise.
 func (s *Snapshot) Usable(i Incarnation) *Upstream {
-	if u := s.usable[i.ID]; u != nil && u.Born == i.Born {
+	if u := s.usable.Find(i.hash()); u != nil && u.Incarnation() == i {
 		return u
 	}
 	return nil
 }
 
 // AllUsable returns the upstreams that accept new requests.
-func (s *Snapshot) AllUsable() []*Upstream {
-	return slices.Collect(maps.Values(s.usable))
+func (s *Snapshot) AllUsable() *Pool {
+	return s.usable
 }
 
-// Batch publishes all changes that f makes in a single snapshot. Building a snapshot
-// takes time proportional to the number of upstreams, and hundreds of changes may arrive
-// at once.
+// Batch publishes all changes that f makes in a single snapshot.
 func (c *Catalog) Batch(f func()) {
 	c.lock.Lock()
 	c.openBatches++
@@ -169,14 +178,14 @@
 // put records the reported state of an upstream. One that was reported as leaving stays so: a later
 // report may be an older one. The caller must hold c.lock.
 func (c *Catalog) put(u Upstream) {
-	u.setHash()
+	u.hash = u.Incarnation().hash()
 	reported := u.Leaving
 	if reported {
 		c.departures[u.Departure()] = true
 	}
 	u.Leaving = c.departures[u.Departure()]
 	u.announced = u.Leaving && !reported
-	c.upstreams[u.ID] = &u
+	c.set(u.ID, &u)
 }
 
 // recordStart records the start time of an upstream and reports whether no later one is
@@ -191,10 +200,23 @@
 	return true
 }
 
-// forgetStarts drops the start times of removed upstreams once there are more than
-// maxRemovedStarts.
+// set replaces what is known of an upstream, by nil to remove it. The caller must hold c.lock.
+func (c *Catalog) set(id UpstreamID, u *Upstream) {
+	if former := c.upstreams[id]; former != nil {
+		c.hide(former)
+	}
+	if u == nil {
+		delete(c.upstreams, id)
+		return
+	}
+	c.upstreams[id] = u
+	c.show(u)
+}
+
+// forgetStarts drops the start times of removed upstreams once there are too many. The caller must
+// hold c.lock.
 func (c *Catalog) forgetStarts() {
-	if len(c.latestStart) <= len(c.upstreams)+maxRemovedStarts {
+	if len(c.latestStart) <= len(c.upstreams)+c.maxRemoved() {
 		return
 	}
 	maps.DeleteFunc(c.latestStart, func(id UpstreamID, _ timekeeper.Millis) bool {
@@ -202,10 +224,16 @@
 	})
 }
 
+// maxRemoved returns the number of removed upstreams of which something is kept. It grows with the
+// number of those listed, so that dropping what is kept takes a constant time for each removal.
+func (c *Catalog) maxRemoved() int {
+	return max(minRemoved, len(c.upstreams))
+}
+
 // Remove removes an upstream.
 func (c *Catalog) Remove(id UpstreamID) {
 	c.update(func() {
-		delete(c.upstreams, id)
+		c.set(id, nil)
 	})
 }
 
@@ -213,13 +241,16 @@
 // former incarnation of a known upstream, the known one is kept.
 func (c *Catalog) Replace(all []Upstream) {
 	c.update(func() {
-		before := c.upstreams
-		c.upstreams = make(map[UpstreamID]*Upstream, len(all))
+		listed := make(map[UpstreamID]bool, len(all))
 		for _, u := range all {
+			listed[u.ID] = true
 			if c.recordStart(u) {
 				c.put(u)
-			} else if known := before[u.ID]; known != nil {
-				c.upstreams[u.ID] = known
+			}
+		}
+		for id := range c.upstreams {
+			if !listed[id] {
+				c.set(id, nil)
 			}
 		}
 	})
@@ -228,7 +259,17 @@
 // Evacuate excludes the upstreams of a failure domain from new snapshots.
 func (c *Catalog) Evacuate(domain string) {
 	c.update(func() {
+		if c.evacuated[domain] {
+			return
+		}
+		list := c.inDomain(domain)
+		for _, u := range list {
+			c.hide(u)
+		}
 		c.evacuated[domain] = true
+		for _, u := range list {
+			c.show(u)
+		}
 	})
 }
 
@@ -240,18 +281,30 @@
 		if !c.evacuated[domain] {
 			return
 		}
+		list := c.inDomain(domain)
+		for _, u := range list {
+			c.hide(u)
+		}
 		delete(c.evacuated, domain)
-		for id, u := range c.upstreams {
-			if u.Site.Domain() != domain {
-				continue
-			}
+		for _, u := range list {
 			w := *u
 			w.ColdUntil = max(w.ColdUntil, coldUntil(u.Service))
-			c.upstreams[id] = &w
+			c.upstreams[u.ID] = &w
+			c.show(&w)
 		}
 	})
 }
 
+// inDomain returns the upstreams of a failure domain. The caller must hold c.lock.
+func (c *Catalog) inDomain(domain string) (list []*Upstream) {
+	for _, u := range c.upstreams {
+		if u.Site.Domain() == domain {
+			list = append(list, u)
+		}
+	}
+	return list
+}
+
 // Evacuated returns the evacuated failure domains.
 func (c *Catalog) Evacuated() []string {
 	c.lock.Lock()
@@ -293,6 +346,8 @@
 		c.latestStart = map[UpstreamID]timekeeper.Millis{}
 		c.evacuated = map[string]bool{}
 		c.departures = map[Departure]bool{}
+		c.next.services = map[resolver.ServiceName]*Pool{}
+		c.batch = 1
 	}
 	f()
 	c.forgetStarts()
@@ -306,22 +361,41 @@
 
 func (c *Catalog) publish() {
 	c.dirty = false
-	s := &Snapshot{
-		Change:   c.Current().Change + 1,
-		services: map[resolver.ServiceName][]*Upstream{},
-		usable:   map[UpstreamID]*Upstream{},
-		listsAny: len(c.upstreams) > 0,
+	c.current.Store(&Snapshot{Change: c.Current().Change + 1, view: c.next, listsAny: len(c.upstreams) > 0})
+	c.batch++
+	c.next.services = maps.Clone(c.next.services)
+}
+
+// show adds an upstream to the next snapshot. The caller must hold c.lock.
+func (c *Catalog) show(u *Upstream) {
+	v := &c.next
+	if u.announced {
+		v.announced = v.announced.put(u, c.batch)
+		v.announcedDigest ^= u.Departure().Hash()
 	}
-	for id, u := range c.upstreams {
-		if u.announced {
-			s.announced = append(s.announced, u.Departure())
-			s.announcedDigest ^= u.Departure().Hash()
-		}
-		if u.Leaving || c.evacuated[u.Site.Domain()] {
-			continue
-		}
-		s.usable[id] = u
-		s.services[u.Service] = append(s.services[u.Service], u)
+	if c.accepts(u) {
+		v.usable = v.usable.put(u, c.batch)
+		v.services[u.Service] = v.services[u.Service].put(u, c.batch)
 	}
-	c.current.Store(s)
+}
+
+// hide takes back what show added. The caller must hold c.lock.
+func (c *Catalog) hide(u *Upstream) {
+	v := &c.next
+	if u.announced {
+		v.announced = v.announced.remove(u, c.batch)
+		v.announcedDigest ^= u.Departure().Hash()
+	}
+	if !c.accepts(u) {
+		return
+	}
+	v.usable = v.usable.remove(u, c.batch)
+	if v.services[u.Service] = v.services[u.Service].remove(u, c.batch); v.services[u.Service].Len() == 0 {
+		delete(v.services, u.Service)
+	}
+}
+
+// accepts reports whether an upstream accepts new requests.
+func (c *Catalog) accepts(u *Upstream) bool {
+	return !u.Leaving && !c.evacuated[u.Site.Domain()]
 }
--- a/internal/version/cataloger/catalog_test.go
+++ b/internal/version/cataloger/catalog_test.go
@@ -15,13 +15,18 @@
 	return cataloger.Upstream{ID: cataloger.UpstreamID(fmt.Sprint("u", i)), Service: "s", Site: "east/a", Slots: 6}
 }
 
+// anyOf returns a usable upstream of the service.
+func anyOf(c *cataloger.Catalog) *cataloger.Upstream {
+	return c.Current().ByService("s").Groups()[0].At(0)
+}
+
 func TestLeavingAndEvacuatedAreNotUsable(t *testing.T) {
 	is := is.New(t)
 	var c cataloger.Catalog
 	for i := range 3 {
 		c.Put(upstream(i))
 	}
-	is.Equal(len(c.Current().ByService("s")), 3)
+	is.Equal(c.Current().ByService("s").Len(), 3)
 	u := upstream(1)
 	u.Leaving = true
 	c.Put(u)
@@ -29,12 +34,12 @@
 	is.True(c.Current().Usable(cataloger.Incarnation{ID: "u0"}) != nil)
 	before := c.Current()
 	c.Evacuate("a")
-	is.Equal(len(c.Current().ByService("s")), 0)
-	is.Equal(len(before.ByService("s")), 2) // snapshots are immutable
+	is.Equal(c.Current().ByService("s").Len(), 0)
+	is.Equal(before.ByService("s").Len(), 2) // snapshots are immutable
 	c.Readmit("a", func(resolver.ServiceName) timekeeper.Millis { return 500 })
-	is.Equal(len(c.Current().ByService("s")), 2)
-	is.True(c.Current().ByService("s")[0].Cold(499))
-	is.True(!c.Current().ByService("s")[0].Cold(500))
+	is.Equal(c.Current().ByService("s").Len(), 2)
+	is.True(anyOf(&c).Cold(499))
+	is.True(!anyOf(&c).Cold(500))
 }
 
 func TestBatchIsOneSnapshot(t *testing.T) {
@@ -47,14 +52,14 @@
 			c.Put(upstream(i))
 		}
 		c.Remove("u7")
-		is.Equal(len(c.Current().ByService("s")), 1)
+		is.Equal(c.Current().ByService("s").Len(), 1)
 	})
 	is.Equal(c.Current().Change, first+1)
-	is.Equal(len(c.Current().ByService("s")), 99)
+	is.Equal(c.Current().ByService("s").Len(), 99)
 	c.Batch(func() {})
 	is.Equal(c.Current().Change, first+1)
 	c.Remove("u8")
-	is.Equal(len(c.Current().ByService("s")), 98)
+	is.Equal(c.Current().ByService("s").Len(), 98)
 }
 
 // incarnation returns an upstream with the given start time; the address distinguishes
@@ -72,21 +77,21 @@
 	var c cataloger.Catalog
 	first, second := incarnation(100, "a:1"), incarnation(200, "a:2")
 	is.True(c.Put(first))
-	old := c.Current().ByService("s")[0]
+	old := anyOf(&c)
 	is.True(c.Put(second))
-	is.True(c.Current().ByService("s")[0].Hash() != old.Hash()) // a new incarnation remembers none of the old one's keys
+	is.True(anyOf(&c).Hash() != old.Hash()) // a new incarnation remembers none of the old one's keys
 	is.True(c.Current().Usable(old.Incarnation()) == nil)
 	is.True(!c.Put(first)) // delayed report
-	is.Equal(c.Current().ByService("s")[0].Address, "a:2")
+	is.Equal(anyOf(&c).Address, "a:2")
 	c.Replace([]cataloger.Upstream{first, upstream(2)})
-	is.Equal(len(c.Current().ByService("s")), 2)
+	is.Equal(c.Current().ByService("s").Len(), 2)
 	is.True(c.Current().Usable(second.Incarnation()) != nil)
 	is.True(!c.Put(incarnation(0, "a:0"))) // no start time, although one was reported before
 	c.Remove("u1")
 	is.True(!c.Put(first))
-	is.Equal(len(c.Current().ByService("s")), 1)
+	is.Equal(c.Current().ByService("s").Len(), 1)
 	is.True(c.Put(second)) // its entry expired and was renewed
-	is.Equal(len(c.Current().ByService("s")), 2)
+	is.Equal(c.Current().ByService("s").Len(), 2)
 }
 
 func TestRemovedStartTimesAreBounded(t *testing.T) {
@@ -166,12 +171,12 @@
 	c.Put(ready)
 	c.Put(leaving)
 	c.Put(ready)
-	is.Equal(len(c.Current().ByService("s")), 0)
+	is.Equal(c.Current().ByService("s").Len(), 0)
 	c.Remove("u1")
 	c.Replace([]cataloger.Upstream{ready})
-	is.Equal(len(c.Current().ByService("s")), 0)
+	is.Equal(c.Current().ByService("s").Len(), 0)
 	c.Put(incarnation(0, "a:2")) // another incarnation
-	is.Equal(len(c.Current().ByService("s")), 1)
+	is.Equal(c.Current().ByService("s").Len(), 1)
 }
 
 // TestAnnouncedDeparturesAreThoseThatNoReportTells guards against members that exchange departures
--- a/internal/version/cataloger/departure.go
+++ b/internal/version/cataloger/departure.go
@@ -7,11 +7,6 @@
 	"github.com/gullvale/gullvale/pkg/hasher"
 )
 
-// maxRemovedDepartures is the number of departures of removed upstreams that are kept. An entry
-// may return within seconds, after an outage of the store, and in that time a fleet of hundreds
-// of upstreams replaces some tens of them.
-const maxRemovedDepartures = 1000
-
 // Departure identifies an upstream that announced in a response that it leaves. Upstreams that
 // report no start time are distinguished by their addresses.
 type Departure struct {
@@ -41,7 +36,7 @@
 			if u := c.upstreams[d.ID]; u != nil && u.Departure() == d {
 				left := *u
 				left.Leaving, left.announced = true, true
-				c.upstreams[d.ID] = &left
+				c.set(d.ID, &left)
 			}
 		}
 	})
@@ -63,9 +58,12 @@
 }
 
 // AnnouncedDepartures returns the listed upstreams that leave although their last reports do not
-// say so: only announcements tell of them. The caller must not modify the slice.
-func (s *Snapshot) AnnouncedDepartures() []Departure {
-	return s.announced
+// say so: only announcements tell of them.
+func (s *Snapshot) AnnouncedDepartures() (list []Departure) {
+	for u := range s.announced.All() {
+		list = append(list, u.Departure())
+	}
+	return list
 }
 
 // AnnouncedDigest returns a digest of AnnouncedDepartures, and false if no upstreams are listed.
@@ -80,7 +78,7 @@
 
 // At returns the usable upstreams at an address.
 func (s *Snapshot) At(address string) (list []*Upstream) {
-	for _, u := range s.usable {
+	for u := range s.usable.All() {
 		if u.Address == address {
 			list = append(list, u)
 		}
@@ -88,10 +86,10 @@
 	return list
 }
 
-// forgetDepartures drops the departures of removed upstreams once there are more than
-// maxRemovedDepartures.
+// forgetDepartures drops the departures of removed upstreams once there are too many. The caller must
+// hold c.lock.
 func (c *Catalog) forgetDepartures() {
-	if len(c.departures) <= len(c.upstreams)+maxRemovedDepartures {
+	if len(c.departures) <= len(c.upstreams)+c.maxRemoved() {
 		return
 	}
 	maps.DeleteFunc(c.departures, func(d Departure, _ bool) bool { return c.upstreams[d.ID] == nil })
--- a/internal/version/loader/load_test.go
+++ b/internal/version/loader/load_test.go
@@ -128,7 +128,7 @@
 	var c cataloger.Catalog
 	first, _ := loader.Read("t.toml", []byte(table))
 	first.Fill(&c, 1000)
-	is.Equal(len(c.Current().ByService("ledger")), 1)
+	is.Equal(c.Current().ByService("ledger").Len(), 1)
 	is.True(c.Current().Usable(cataloger.Incarnation{ID: "u1"}) != nil)
 	is.Equal(c.Current().Usable(cataloger.Incarnation{ID: "u2"}), nil)
 	u, _ := c.Known("u2")
