heartbeater: leader order and digests are kept; a heartbeat no longer costs all members

Cause: each heartbeat that is received asked for the leader several times and for the digest of the table, and both went over all members of the fleet; the list of living members was sorted anew for each lookup of a caller and twice a second.

Change: members of a region are kept in the leader order; digest and list are computed when a member changes or the first of them may have expired.

--- a/internal/process/heartbeater/changes.go
+++ b/internal/process/heartbeater/changes.go
@@ -117,7 +117,7 @@
 	states := map[string]hasher.Hash{b.self.Name: memberDigest(b.self)}
 	for _, k := range b.members {
 		if now-k.lastAlive < MemberTimeout {
-			states[k.Name] = memberDigest(k.Member)
+			states[k.Name] = k.digest
 		}
 	}
 	return states
@@ -142,6 +142,7 @@
 			k.expireUnheard(now)
 		}
 	}
+	b.changes++
 }
 
 // recordVersion records that this member has the leader's table of a heartbeat. The caller must hold
--- a/internal/process/heartbeater/handon.go
+++ b/internal/process/heartbeater/handon.go
@@ -33,10 +33,8 @@
 // hold the lock.
 func (b *Heartbeater) spread(self Member, long bool) (direct, delegates []string) {
 	domains := map[registrar.Site][]*knownMember{}
-	for _, k := range b.members {
-		if k.Site.Region() == self.Site.Region() {
-			domains[k.Site] = append(domains[k.Site], k)
-		}
+	for _, k := range b.regions[self.Site.Region()] {
+		domains[k.Site] = append(domains[k.Site], k)
 	}
 	for site, members := range domains {
 		if k := b.delegate(self, members, long); site != self.Site && k != nil {
@@ -78,7 +76,7 @@
 	self := b.Self()
 	b.lock.Lock()
 	var to []string
-	for _, k := range b.members {
+	for _, k := range b.regions[self.Site.Region()] {
 		if k.Site == self.Site {
 			to = append(to, k.Beats)
 		}
--- a/internal/process/heartbeater/heartbeater.go
+++ b/internal/process/heartbeater/heartbeater.go
@@ -1,9 +1,7 @@
 package heartbeater
 
 import (
-	"cmp"
 	"context"
-	"slices"
 	"sync"
 	"time"
 
@@ -163,6 +161,14 @@
 
 		lock    sync.Mutex
 		members map[string]*knownMember
+		// regions holds the members of each region in the leader order.
+		regions map[string][]*knownMember
+		// living, confirmed and alive cache what follows from the states of all living members.
+		// changes counts what may make them out of date.
+		changes   uint64
+		living    cachedDigest
+		confirmed cachedDigest
+		alive     cachedMembers
 		// sites holds the members' sites by their datagram addresses.
 		sites map[string]registrar.Site
 		self  Member
@@ -177,6 +183,9 @@
 	// knownMember is what this member knows of another.
 	knownMember struct {
 		Member
+		region string
+		// digest is the digest of the state of the member.
+		digest hasher.Hash
 		// nameHash breaks ties in the leader order. It is the hash of the name.
 		nameHash hasher.Hash
 		// lastAlive is when the member was last known to be alive, by its own heartbeat
@@ -209,22 +218,6 @@
 	b.insert(m, b.Clock.Now()-MemberTimeout)
 }
 
-// Alive returns the living members, including this one, sorted by name.
-func (b *Heartbeater) Alive() []Member {
-	now := b.Clock.Now()
-	self := b.Self()
-	b.lock.Lock()
-	defer b.lock.Unlock()
-	alive := []Member{self}
-	for _, k := range b.members {
-		if k.isAlive(now) {
-			alive = append(alive, k.Member)
-		}
-	}
-	slices.SortFunc(alive, func(x, y Member) int { return cmp.Compare(x.Name, y.Name) })
-	return alive
-}
-
 // Run sends heartbeats until ctx is done.
 func (b *Heartbeater) Run(ctx context.Context) {
 	b.SendHeartbeats(false)
--- a/internal/process/heartbeater/leader.go
+++ b/internal/process/heartbeater/leader.go
@@ -84,16 +84,23 @@
 // known to be alive within leaderTimeout. The caller must hold the lock.
 func (b *Heartbeater) best(region string) *knownMember {
 	now := b.Clock.Now()
-	var best *knownMember
-	for _, k := range b.members {
-		if k.Site.Region() != region || now-max(k.lastAlive, k.confirmed) > leaderTimeout {
-			continue
-		}
-		if best == nil || precedes(k.Member, k.nameHash, best.Member, best.nameHash) {
-			best = k
+	for _, k := range b.regions[region] {
+		if now-max(k.lastAlive, k.confirmed) <= leaderTimeout {
+			return k
 		}
 	}
-	return best
+	return nil
+}
+
+// compareLeaders compares members by the leader order.
+func compareLeaders(x, y *knownMember) int {
+	switch {
+	case x == y:
+		return 0
+	case precedes(x.Member, x.nameHash, y.Member, y.nameHash):
+		return -1
+	}
+	return 1
 }
 
 // precedes reports whether x comes before y in the leader order. The hashes of their names
--- a/internal/process/heartbeater/limits.go
+++ b/internal/process/heartbeater/limits.go
@@ -34,7 +34,7 @@
 		if !alive {
 			continue
 		}
-		r := k.Site.Region()
+		r := k.region
 		if r == self.Site.Region() {
 			c.Reachable++
 		}
--- a/internal/process/heartbeater/member.go
+++ b/internal/process/heartbeater/member.go
@@ -1,6 +1,8 @@
 package heartbeater
 
 import (
+	"slices"
+
 	"github.com/gullvale/gullvale/pkg/hasher"
 	"github.com/gullvale/gullvale/pkg/registrar"
 	"github.com/gullvale/gullvale/pkg/timekeeper"
@@ -18,6 +20,7 @@
 	for _, k := range b.members {
 		k.expireUnheard(now)
 	}
+	b.changes++
 }
 
 // expireUnheard marks the member as dead if it sent no heartbeat to this one within MemberTimeout.
@@ -38,19 +41,6 @@
 	}
 }
 
-// digest returns a digest of the living members and their states. If leading is set, a member
-// that is alive only by a liveness confirmation is left out. The caller must hold the lock.
-func (b *Heartbeater) digest(leading bool) uint64 {
-	now := b.Clock.Now()
-	d := memberDigest(b.self)
-	for _, k := range b.members {
-		if now-k.lastAlive < MemberTimeout || !leading && k.isAlive(now) {
-			d ^= memberDigest(k.Member)
-		}
-	}
-	return uint64(d)
-}
-
 func memberDigest(m Member) hasher.Hash {
 	state := hasher.Hash(m.Incarnation)
 	for _, flag := range []bool{m.Ready, m.Leaving, m.Reaching} {
@@ -77,25 +67,61 @@
 	if k == nil {
 		return b.insert(memberOf(r), lastAlive)
 	}
-	if lastAlive >= k.lastAlive {
-		delete(b.sites, k.Beats)
-		k.Member, k.lastAlive = memberOf(r), lastAlive
-		b.sites[k.Beats] = k.Site
+	if lastAlive < k.lastAlive {
+		return k
+	}
+	if b.Clock.Now()-k.lastAlive >= MemberTimeout {
+		b.changes++ // it is alive again
+	}
+	k.lastAlive = lastAlive
+	if m := memberOf(r); m != k.Member {
+		b.replace(k, m)
 	}
 	return k
 }
 
+// replace replaces the description of a member. The caller must hold the lock.
+func (b *Heartbeater) replace(k *knownMember, m Member) {
+	b.unlist(k)
+	k.Member = m
+	b.list(k)
+}
+
 func (b *Heartbeater) insert(m Member, lastAlive timekeeper.Millis) *knownMember {
 	if b.members == nil {
 		b.members = map[string]*knownMember{}
 		b.sites = map[string]registrar.Site{}
+		b.regions = map[string][]*knownMember{}
 	}
 	k := &knownMember{Member: m, nameHash: hasher.OfString(m.Name), lastAlive: lastAlive}
 	b.members[m.Name] = k
-	b.sites[m.Beats] = m.Site
+	b.list(k)
 	return k
 }
 
+// list adds a member to the lists by address and by region. The caller must hold the lock.
+func (b *Heartbeater) list(k *knownMember) {
+	b.changes++
+	k.region, k.digest = k.Site.Region(), memberDigest(k.Member)
+	b.sites[k.Beats] = k.Site
+	l := b.regions[k.region]
+	i, _ := slices.BinarySearchFunc(l, k, compareLeaders)
+	b.regions[k.region] = slices.Insert(l, i, k)
+}
+
+// unlist takes back what list added. The caller must hold the lock.
+func (b *Heartbeater) unlist(k *knownMember) {
+	b.changes++
+	delete(b.sites, k.Beats)
+	l := b.regions[k.region]
+	if i := slices.Index(l, k); i >= 0 {
+		l = slices.Delete(l, i, i+1)
+	}
+	if b.regions[k.region] = l; len(l) == 0 {
+		delete(b.regions, k.region)
+	}
+}
+
 // removeSilent removes members that have been silent for forgetTimeout. The caller must hold
 // the lock.
 func (b *Heartbeater) removeSilent() {
@@ -103,7 +129,7 @@
 	for n, k := range b.members {
 		if now-max(k.lastAlive, k.confirmed) > forgetTimeout {
 			delete(b.members, n)
-			delete(b.sites, k.Beats)
+			b.unlist(k)
 		}
 	}
 }
--- a/internal/process/heartbeater/target.go
+++ b/internal/process/heartbeater/target.go
@@ -10,8 +10,8 @@
 func (b *Heartbeater) memberTargets(region string) []string {
 	first := b.firstTargets(region, heartbeatTargets)
 	now := b.Clock.Now()
-	for _, k := range b.members {
-		if now-k.lastLeading < leaderTimeout && k.Site.Region() == region {
+	for _, k := range b.regions[region] {
+		if now-k.lastLeading < leaderTimeout {
 			return first
 		}
 	}
@@ -51,21 +51,15 @@
 // regionTargets returns the addresses of the other members of a region, including those that have
 // been silent for less than forgetTimeout.
 func (b *Heartbeater) regionTargets(region string) (to []string) {
-	for _, k := range b.members {
-		if k.Site.Region() == region {
-			to = append(to, k.Beats)
-		}
+	for _, k := range b.regions[region] {
+		to = append(to, k.Beats)
 	}
 	return to
 }
 
 // remoteTargets returns the addresses of the first members of each other region.
 func (b *Heartbeater) remoteTargets(region string) (to []string) {
-	regions := map[string]bool{}
-	for _, k := range b.members {
-		regions[k.Site.Region()] = true
-	}
-	for r := range regions {
+	for r := range b.regions {
 		if r == region {
 			continue
 		}
@@ -84,20 +78,10 @@
 // order.
 func (b *Heartbeater) firstTargets(region string, n int) (to []string) {
 	now := b.Clock.Now()
-	var l []*knownMember
-	for _, k := range b.members {
-		if k.Site.Region() == region && k.isAlive(now) {
-			l = append(l, k)
-		}
-	}
-	slices.SortFunc(l, func(x, y *knownMember) int {
-		if precedes(x.Member, x.nameHash, y.Member, y.nameHash) {
-			return -1
+	for _, k := range b.regions[region] {
+		if len(to) < n && k.isAlive(now) {
+			to = append(to, k.Beats)
 		}
-		return 1
-	})
-	for _, k := range l[:min(n, len(l))] {
-		to = append(to, k.Beats)
 	}
 	return to
 }
--- a/internal/process/heartbeater/wire.go
+++ b/internal/process/heartbeater/wire.go
@@ -13,7 +13,7 @@
 func (b *Heartbeater) rows(region string) (rows []*Row) {
 	now := b.Clock.Now()
 	for _, k := range b.members {
-		if now-k.lastAlive < MemberTimeout && (region == "" || k.Site.Region() == region) {
+		if now-k.lastAlive < MemberTimeout && (region == "" || k.region == region) {
 			rows = append(rows, row(k.Member, now-k.lastAlive))
 		}
 	}
@@ -23,9 +23,9 @@
 // remoteRows returns the rows of members of other regions that sent this one a heartbeat: the
 // leader may not know them.
 func (b *Heartbeater) remoteRows() (rows []*Row) {
-	now := b.Clock.Now()
+	now, own := b.Clock.Now(), b.self.Site.Region()
 	for _, k := range b.members {
-		if k.Site.Region() != b.self.Site.Region() && k.lastHeartbeat > 0 && now-k.lastHeartbeat < MemberTimeout {
+		if k.region != own && k.lastHeartbeat > 0 && now-k.lastHeartbeat < MemberTimeout {
 			rows = append(rows, row(k.Member, now-k.lastHeartbeat))
 		}
 	}
