--- a/internal/process/fronter/bounds.go
+++ b/internal/process/fronter/bounds.go
@@ -1,13 +1,10 @@
 package fronter
 
 import (
-	"slices"
-
 	"github.com/gullvale/gullvale/internal/connection/tracker"
 	"github.com/gullvale/gullvale/internal/process/heartbeater"
 	"github.com/gullvale/gullvale/internal/request/dispatcher"
 	"github.com/gullvale/gullvale/internal/version/cataloger"
-	"github.com/gullvale/gullvale/pkg/hasher"
 	"github.com/gullvale/gullvale/pkg/timekeeper"
 )
 
@@ -84,7 +81,7 @@
 // ExpectMembers records members that are known from another source than Options.Members. They may be
 // alive.
 func (f *Fronter) ExpectMembers(members []heartbeater.Member) {
-	f.memberHistory.expect(f.clock.Now(), members)
+	f.memberHistory.expect(members)
 }
 
 // fleetSize returns how many members may be alive, or 0 if ExpectMembers was not called.
@@ -114,28 +111,13 @@
 	return f.options.Bounds().WarmupRate(perSecond)
 }
 
-// isWarmupSender reports whether this member is one of the senders to a cold upstream: the
-// first in the upstream's rendezvous order of the members of its region, or of all members
-// if its region has none.
+// isWarmupSender reports whether this member is one of the senders to a cold upstream: the first in
+// the upstream's rendezvous order of the members of its region, or of all members if its region has
+// none. Members that are not heard count as well: members that are cut from each other would all take
+// themselves for senders.
 func (f *Fronter) isWarmupSender(u *cataloger.Upstream) bool {
-	all := f.members()
-	regional := slices.DeleteFunc(slices.Clone(all), func(m heartbeater.Member) bool {
-		return m.Site.Region() != u.Site.Region()
-	})
-	if len(regional) > 0 {
-		all = regional
-	}
-	higher := 0
-	own := hasher.Mix(u.Hash(), hasher.OfString(f.options.Self))
-	for _, m := range all {
-		if m.Name == f.options.Self {
-			continue
-		}
-		if hasher.Mix(u.Hash(), hasher.OfString(m.Name)) > own {
-			higher++
-		}
-	}
-	eligible := slices.ContainsFunc(all, func(m heartbeater.Member) bool { return m.Name == f.options.Self })
+	f.members()
+	higher, eligible := f.memberHistory.precede(u.Hash(), u.Site.Region(), f.options.Self)
 	return eligible && higher < warmupSenders
 }
 
--- a/internal/process/fronter/bounds_test.go
+++ b/internal/process/fronter/bounds_test.go
@@ -31,6 +31,43 @@
 	}
 }
 
+// isolatedFleet returns VMs of one region that hear nobody, and the list of them.
+func isolatedFleet() (fleet []*fronter.Fronter, members []heartbeater.Member) {
+	for _, name := range modelNames(0) {
+		self := heartbeater.Member{Name: name, Site: "east/a"}
+		members = append(members, self)
+		fleet = append(fleet, fronter.New(fronter.Options{
+			Self:    name,
+			Bounds:  func() fronter.Bounds { return fronter.Bounds{ColdOver: 1.5, ColdSlack: 5} },
+			Members: func() []heartbeater.Member { return []heartbeater.Member{self} },
+		}))
+	}
+	return fleet, members
+}
+
+// TestCutVmsKeepTheirColdUpstreams guards against VMs that take over cold upstreams from others only
+// since they don't hear them: each upstream has the same two senders as before.
+func TestCutVmsKeepTheirColdUpstreams(t *testing.T) {
+	is := is.New(t)
+	fleet, members := isolatedFleet()
+	for _, f := range fleet {
+		f.ExpectMembers(members)
+	}
+	var c cataloger.Catalog
+	for i := range 50 {
+		c.Put(cataloger.Upstream{ID: cataloger.UpstreamID(fmt.Sprint("cold", i)), Service: "ledger", Site: "east/a"})
+	}
+	for u := range c.Current().AllUsable().All() {
+		senders := 0
+		for _, f := range fleet {
+			if f.SendsToCold(u) {
+				senders++
+			}
+		}
+		is.Equal(senders, 2)
+	}
+}
+
 // TestCutVmsKeepColdUpstreamsWithinTheirRate guards against VMs that all send to a cold upstream at
 // the rate of one of few senders, since none hears the others.
 func TestCutVmsKeepColdUpstreamsWithinTheirRate(t *testing.T) {
@@ -40,15 +77,7 @@
 		length = 2 * time.Second
 	)
 	u := &cataloger.Upstream{ID: "cold", Service: "ledger", Site: "east/a"}
-	var fleet []*fronter.Fronter
-	for _, name := range modelNames(0) {
-		self := heartbeater.Member{Name: name, Site: "east/a"}
-		fleet = append(fleet, fronter.New(fronter.Options{
-			Self:    name,
-			Bounds:  func() fronter.Bounds { return fronter.Bounds{ColdOver: 1.5, ColdSlack: 5} },
-			Members: func() []heartbeater.Member { return []heartbeater.Member{self} },
-		}))
-	}
+	fleet, _ := isolatedFleet()
 	var sent []time.Time
 	for end := time.Now().Add(length); time.Now().Before(end); time.Sleep(time.Millisecond) {
 		for _, f := range fleet {
--- a/internal/process/fronter/member_history_test.go
+++ b/internal/process/fronter/member_history_test.go
@@ -23,9 +23,11 @@
 	})
 	f.UseClock(timekeeper.Clock{Monotonic: func() timekeeper.Millis { return now }})
 	after := func(m timekeeper.Millis, members ...heartbeater.Member) int {
-		now += m
 		heard = append([]heartbeater.Member{self}, members...)
-		f.RefreshMembers()
+		for end := now + m; now < end || m == 0; m = 1 {
+			now = min(now+500, end)
+			f.RefreshMembers()
+		}
 		return f.FleetSize()
 	}
 	silent, leaving := heartbeater.Member{Name: "silent"}, heartbeater.Member{Name: "leaving", Leaving: true}
