director: all entries of a region with more than 64 are used

Cause: a response has 64 entries at most, and where more were to be in it, the first 64 by strength and name were, for every caller: a region of 300 equal VMs was served by 64 of them. The fleet's regions have 30 strong VMs and some 15 of the others in a response; at twice its size they exceed the bound.

Change: beyond 64 each caller gets those that its own hash prefers, the same ones each time. TestAllEntriesOfLargeRegionAreUsed fails on the code before (64 of 300 used).

--- a/internal/process/director/choose.go
+++ b/internal/process/director/choose.go
@@ -62,7 +62,18 @@
 			chosen = append(chosen, m)
 		}
 	}
-	return chosen[:min(len(chosen), MaxEntries)]
+	return some(chosen, caller)
+}
+
+// some returns MaxEntries of the members, if there are more. Different callers get different ones.
+func some(members []heartbeater.Member, caller hasher.Hash) []heartbeater.Member {
+	if len(members) <= MaxEntries {
+		return members
+	}
+	slices.SortFunc(members, func(x, y heartbeater.Member) int {
+		return cmp.Compare(hasher.Mix(hasher.OfString(y.Name), caller), hasher.Mix(hasher.OfString(x.Name), caller))
+	})
+	return members[:MaxEntries]
 }
 
 func filter(members []heartbeater.Member, take func(heartbeater.Member) bool) (chosen []heartbeater.Member) {
--- a/internal/process/director/choose_test.go
+++ b/internal/process/director/choose_test.go
@@ -72,6 +72,32 @@
 	is.Equal(len(director.Choose(all, "east", "x")), director.MaxEntries)
 }
 
+// TestAllEntriesOfLargeRegionAreUsed guards against a region with more entries than a response has,
+// where all callers get the same ones.
+func TestAllEntriesOfLargeRegionAreUsed(t *testing.T) {
+	is := is.New(t)
+	const members, callers = 300, 600
+	var all []heartbeater.Member
+	for i := range members {
+		all = append(all, member(fmt.Sprint("m", i), "east/a", 320, true))
+	}
+	uses := map[string]int{}
+	for c := range callers {
+		caller := fmt.Sprint("caller", c)
+		list := director.Choose(all, "east", caller)
+		is.Equal(len(list), director.MaxEntries)
+		is.Equal(list, director.Choose(all, "east", caller))
+		for _, a := range list {
+			uses[a]++
+		}
+	}
+	const mean = callers * director.MaxEntries / members
+	is.Equal(len(uses), members)
+	for _, n := range uses {
+		is.True(n > mean/2 && n < mean*3/2)
+	}
+}
+
 // TestCutEntriesComeLast guards against callers that are sent to entries which reach no upstream
 // while others do, and against too few entries if most are cut.
 func TestCutEntriesComeLast(t *testing.T) {
