--- a/internal/process/heartbeater/alive.go
+++ b/internal/process/heartbeater/alive.go
@@ -82,8 +82,7 @@
 	return c
 }
 
-// newCacheKey returns the key of what is computed now. Without living members it is valid until one
-// appears.
+// newCacheKey returns the key of what is computed now, before the members that limit it are known.
 func (b *Heartbeater) newCacheKey(now timekeeper.Millis) cacheKey {
 	return cacheKey{changes: b.changes, until: now + MemberTimeout}
 }
