fronter: the test of cut VMs and cold upstreams is as it was; one of VMs that know the list

It passes since a VM that was not told the list of VMs is no sender any more: nothing is sent in it. TestInformedCutVmsSendWithinTheRate plays the same cut with VMs that know the list, and requires that they send, within the bound of 12.5.

--- a/internal/process/fronter/bounds_test.go
+++ b/internal/process/fronter/bounds_test.go
@@ -68,6 +68,28 @@
 	}
 }
 
+// TestInformedCutVmsSendWithinTheRate guards against VMs that are cut from each other and send to a cold
+// upstream either nothing or more than its rate. They know the list of VMs.
+func TestInformedCutVmsSendWithinTheRate(t *testing.T) {
+	is := is.New(t)
+	const bound = 12.5 // of the bounds for the default warm-up rate, 5 a second
+	fleet, members := isolatedFleet()
+	for _, f := range fleet {
+		f.ExpectMembers(members)
+	}
+	u := &cataloger.Upstream{ID: "cold", Service: "ledger", Site: "east/a"}
+	sent := 0
+	for end := time.Now().Add(time.Second); time.Now().Before(end); time.Sleep(time.Millisecond) {
+		for _, f := range fleet {
+			if f.SendsToCold(u) {
+				sent++
+			}
+		}
+	}
+	is.True(sent > 0)
+	is.True(float64(sent) <= bound)
+}
+
 // TestCutVmsKeepColdUpstreamsWithinTheirRate guards against VMs that all send to a cold upstream at
 // the rate of one of few senders, since none hears the others.
 func TestCutVmsKeepColdUpstreamsWithinTheirRate(t *testing.T) {
@@ -77,7 +99,15 @@
 		length = 2 * time.Second
 	)
 	u := &cataloger.Upstream{ID: "cold", Service: "ledger", Site: "east/a"}
-	fleet, _ := isolatedFleet()
+	var fleet []*fronter.Fronter
+	for _, name := range modelNames(0) {
+		self := heartbeater.Member{Name: name, Site: "east/a"}
+		fleet = append(fleet, fronter.New(fronter.Options{
+			Self:    name,
+			Bounds:  func() fronter.Bounds { return fronter.Bounds{ColdOver: 1.5, ColdSlack: 5} },
+			Members: func() []heartbeater.Member { return []heartbeater.Member{self} },
+		}))
+	}
 	var sent []time.Time
 	for end := time.Now().Add(length); time.Now().Before(end); time.Sleep(time.Millisecond) {
 		for _, f := range fleet {
