--- a/review/deployer/deployment.go
+++ b/review/deployer/deployment.go
@@ -252,21 +252,6 @@
 	close(exited)
 }
 
-// Signal sends a signal to the process of a daemon.
-func (m *Daemon) Signal(s syscall.Signal) error {
-	m.lock.Lock()
-	defer m.lock.Unlock()
-	m.deployment.Record.Add("process of %s gets signal %v", m.Name, s)
-	return m.command.Process.Signal(s)
-}
-
-// Exited is closed when the current process has ended.
-func (m *Daemon) Exited() <-chan struct{} {
-	m.lock.Lock()
-	defer m.lock.Unlock()
-	return m.exited
-}
-
 // AwaitReady waits until the daemon says that it is ready.
 func (m *Daemon) AwaitReady(timeout time.Duration) error {
 	client := http.Client{Timeout: time.Second}
