connection/detector: a reset connection no longer looks closed to its reader

Callers got a part of a response as a whole 200: an upstream answered a long upload with a response without a length, sent a part of it, and reset the connection while the upload was still being written.

Cause: the kernel reports the error of a socket to one call only. A write of the upload takes ECONNRESET, and the read of the response after it returns 0, which ends a response that ends with its connection.

Evidence: a trace on a scratch copy of each read and write with the state of the socket (TCP_INFO), straight, 72 uploads. In all 17 parts that looked complete the body ended with EOF in state CLOSE and a write got ECONNRESET; in 13 that write was traced before the EOF, in 4 after it, so a flag set by the writer and asked by the reader is a race. No deadline of an abort came before, and no socket was in CLOSE-WAIT, which a FIN leaves. Every other upload had ECONNRESET at the reader.

A write holds a lock until its error is kept; a read that finds the end ends the write in progress, waits for the lock, and returns the error that was kept in place of EOF. The write that took the error began before the read found the end, so the order is given by the lock and not by time. After a FIN a write gets EPIPE, which is not kept: a response whose end arrived in order stays whole, also if a reset for the unread upload follows.

Not affected: calls of the store and of members are GETs, or writes of which only the head of the response is used; links have a frame that ends each response; chunks and lengths end visibly.

--- a/internal/connection/pooler/refusal.go
+++ b/internal/connection/pooler/refusal.go
@@ -7,13 +7,15 @@
 	"net/http/httptrace"
 	"sync/atomic"
 	"syscall"
+
+	"github.com/gullvale/gullvale/internal/connection/detector"
 )
 
 // refusableConn is a connection to an upstream that may respond and close before it has read a
 // whole request. The transport drops that response if a write fails, so writes that the upstream
 // refuses in the middle of a request count as done. Reads then return the response, or the error.
 type refusableConn struct {
-	net.Conn
+	*detector.Conn
 	// written reports whether a part of the current request was written.
 	written atomic.Bool
 	// sent is set once a part of the current request may have been written, to this
@@ -27,7 +29,7 @@
 	if err != nil {
 		return nil, err
 	}
-	return &refusableConn{Conn: c}, nil
+	return &refusableConn{Conn: detector.New(c)}, nil
 }
 
 // beginRequest is called with each connection that was chosen for the request.
--- a/internal/connection/sender/conn.go
+++ b/internal/connection/sender/conn.go
@@ -12,6 +12,7 @@
 	"syscall"
 	"time"
 
+	"github.com/gullvale/gullvale/internal/connection/detector"
 	"github.com/gullvale/gullvale/pkg/timekeeper"
 )
 
@@ -30,7 +31,7 @@
 
 // conn is a connection to an upstream. It is used by one exchange at a time.
 type conn struct {
-	net.Conn
+	*detector.Conn
 	reader *bufio.Reader
 	writer *bufio.Writer
 	// idleSince is when the connection was last returned to the pool.
@@ -52,7 +53,7 @@
 type bodyWriter struct{ out *conn }
 
 func newConn(c net.Conn, count Counter) *conn {
-	k := &conn{Conn: c, keepAlive: defaultIdle, count: count}
+	k := &conn{Conn: detector.New(c), keepAlive: defaultIdle, count: count}
 	k.reader = bufio.NewReaderSize(k, readBuffer)
 	k.writer = bufio.NewWriterSize(k, writeBuffer)
 	return k
@@ -120,7 +121,7 @@
 	if c.reader.Buffered() > 0 {
 		return false
 	}
-	s, ok := c.Conn.(syscall.Conn)
+	s, ok := c.Conn.Conn.(syscall.Conn)
 	if !ok {
 		return true
 	}
--- a/internal/request/dispatcher/early_test.go
+++ b/internal/request/dispatcher/early_test.go
@@ -12,7 +12,6 @@
 
 	"github.com/matryer/is"
 
-	"github.com/gullvale/gullvale/internal/connection/pipeliner"
 	"github.com/gullvale/gullvale/internal/request/relayer"
 	"github.com/gullvale/gullvale/internal/standin/responder"
 	"github.com/gullvale/gullvale/internal/standin/uploader"
@@ -31,16 +30,19 @@
 
 // upload sends a long body in pieces to the entry and returns the response.
 func upload(t *testing.T, address, body string, chunked bool) *http.Response {
+	t.Helper()
+	return sendUpload(t, address, &uploader.Upload{Body: body, Chunked: chunked, Piece: uploadPiece, Interval: uploadInterval})
+}
+
+// sendUpload sends an upload to the entry and returns the response.
+func sendUpload(t *testing.T, address string, u *uploader.Upload) *http.Response {
 	t.Helper()
 	c, err := net.Dial("tcp", address)
 	if err != nil {
 		t.Fatal(err)
 	}
 	t.Cleanup(func() { c.Close() })
-	u := &uploader.Upload{
-		Host: "h.example", Header: http.Header{fields.RequestID: {"id"}}, Body: body, Chunked: chunked,
-		Piece: uploadPiece, Interval: uploadInterval,
-	}
+	u.Host, u.Header = "h.example", http.Header{fields.RequestID: {"id"}}
 	go func() { _ = u.Send(c) }()
 	p, err := http.ReadResponse(bufio.NewReader(c), nil)
 	if err != nil {
@@ -65,30 +67,18 @@
 		{"success", responder.Respond("200 OK", id+proof, "good"), 200},
 		{"long success", responder.Respond("200 OK", id+proof, strings.Repeat("x", 300<<10)), 200},
 	}
-	paths := []struct {
-		name string
-		make func(*testing.T) *harness
-	}{
-		{"straight", func(t *testing.T) *harness { return newHarness(t, matcher.Once) }},
-		{"over a helper", func(t *testing.T) *harness { return newRelayHarness(t, matcher.Once).harness }},
-	}
 	for _, tt := range tests {
-		for _, path := range paths {
+		for _, path := range upstreamPaths {
 			for _, chunked := range []bool{false, true} {
 				t.Run(fmt.Sprintf("%s, %s, chunked=%t", tt.name, path.name, chunked), func(t *testing.T) {
 					is := is.New(t)
 					s := path.make(t)
 					u := &responder.Responder{After: uploadRead, Response: func(*http.Request) string { return tt.response }, Bodies: make(chan responder.Body, 1)}
-					s.catalog.Put(cataloger.Upstream{ID: "u", Service: "s", Address: u.Start(t), Site: "east/a", Slots: 4})
-					entry := &pipeliner.Server{Handler: s.Dispatcher}
-					l, err := net.Listen("tcp", "127.0.0.1:0")
-					is.NoErr(err)
-					go func() { _ = entry.Serve(l) }()
-					t.Cleanup(entry.Close)
+					address := s.serveEntry(t, u.Start(t))
 					sent := uploader.Numbered(uploadBytes)
-					p := upload(t, l.Addr().String(), sent, chunked)
+					p := upload(t, address, sent, chunked)
 					is.Equal(p.StatusCode, tt.status)
-					_, err = io.Copy(io.Discard, p.Body)
+					_, err := io.Copy(io.Discard, p.Body)
 					is.NoErr(err)
 					got := <-u.Bodies
 					is.True(strings.HasPrefix(sent, got.Bytes))         // no gap
--- a/internal/request/forwarder/early_test.go
+++ b/internal/request/forwarder/early_test.go
@@ -2,7 +2,6 @@
 
 import (
 	"bufio"
-	"context"
 	"fmt"
 	"io"
 	"net"
@@ -13,8 +12,6 @@
 
 	"github.com/matryer/is"
 
-	"github.com/gullvale/gullvale/internal/connection/pipeliner"
-	"github.com/gullvale/gullvale/internal/request/exchanger"
 	"github.com/gullvale/gullvale/internal/request/forwarder"
 	"github.com/gullvale/gullvale/internal/standin/responder"
 	"github.com/gullvale/gullvale/internal/standin/uploader"
@@ -29,18 +26,21 @@
 	uploadInterval = 2 * time.Millisecond
 )
 
-// upload sends a long body in pieces and returns the response.
+// upload sends a long body in pieces to the entry and returns the response.
 func upload(t *testing.T, address, body string, chunked bool) *http.Response {
+	t.Helper()
+	return sendUpload(t, address, &uploader.Upload{Body: body, Chunked: chunked, Piece: uploadPiece, Interval: uploadInterval})
+}
+
+// sendUpload sends an upload to the entry and returns the response.
+func sendUpload(t *testing.T, address string, u *uploader.Upload) *http.Response {
 	t.Helper()
 	c, err := net.Dial("tcp", address)
 	if err != nil {
 		t.Fatal(err)
 	}
 	t.Cleanup(func() { c.Close() })
-	u := &uploader.Upload{
-		Host: "s", Header: http.Header{forwarder.HeaderService: {string(service)}}, Body: body, Chunked: chunked,
-		Piece: uploadPiece, Interval: uploadInterval,
-	}
+	u.Host, u.Header = "s", http.Header{forwarder.HeaderService: {string(service)}}
 	go func() { _ = u.Send(c) }()
 	p, err := http.ReadResponse(bufio.NewReader(c), nil)
 	if err != nil {
@@ -68,23 +68,11 @@
 				t.Run(fmt.Sprintf("%s, linked=%t, chunked=%t", tt.name, linked, chunked), func(t *testing.T) {
 					is := is.New(t)
 					u := &responder.Responder{After: uploadRead, Response: func(*http.Request) string { return tt.response }, Bodies: make(chan responder.Body, 1)}
-					f := newForwarderTo(t, u.Start(t))
-					f.Leaving = func() bool { return false }
-					if linked {
-						owner := f.Owner
-						useOwners(t, f, startServingPeer(t, "b", func(ctx context.Context, c *exchanger.Call, _ bool) exchanger.Result {
-							return owner.Run(ctx, c)
-						}))
-					}
-					entry := &pipeliner.Server{Handler: f}
-					l, err := net.Listen("tcp", "127.0.0.1:0")
-					is.NoErr(err)
-					go func() { _ = entry.Serve(l) }()
-					t.Cleanup(entry.Close)
+					address := serveEntry(t, u.Start(t), linked)
 					sent := uploader.Numbered(uploadBytes)
-					p := upload(t, l.Addr().String(), sent, chunked)
+					p := upload(t, address, sent, chunked)
 					is.Equal(p.StatusCode, tt.status)
-					_, err = io.Copy(io.Discard, p.Body)
+					_, err := io.Copy(io.Discard, p.Body)
 					is.NoErr(err)
 					got := <-u.Bodies
 					is.True(strings.HasPrefix(sent, got.Bytes))         // no gap
--- a/internal/standin/responder/responder.go
+++ b/internal/standin/responder/responder.go
@@ -23,6 +23,8 @@
 		Response func(*http.Request) string
 		// Repeat means that each response of a connection is sent again, right before the next one.
 		Repeat bool
+		// Closes means that the connection is closed once the body was read.
+		Closes bool
 		// Bodies receives what was read of each body, once it ended.
 		Bodies chan Body
 	}
@@ -85,7 +87,7 @@
 		if r.Repeat {
 			repeated = response
 		}
-		if !b.Complete {
+		if !b.Complete || r.Closes {
 			return
 		}
 	}
