verifier: a status that HTTP does not have is no response

Callers got a response of an upstream in trouble whose status was 000: a 200 with the bytes behind that head, or on the own interface a 200 with its body.

Cause: http.ReadResponse takes any three digits for a status, and "+20". sender skipped each status below 200 as interim and read what followed as the final head. The own interface handed the status to pipeliner, which ignores an interim status, so that the first write set 200; a 101 that nobody asked for went the same way. 600 and 999 were passed on.

Evidence, the test on the code before, by what the caller got: 42 cases a 200 in place of 502; 48 cases 504 after 2 s, since the skipped head was followed by nothing; 28 a 600 or 999; in 8 the next request of the own interface got the response behind the invalid one. A write of the store counted as done, and a health check as good.

Fix: verifier.CheckHead checks each head where it is read, interim ones as well, before anything in it is used. What fails is no response: the request may have run, so it is sent again only if it may run twice, and the connection is closed.

--- a/internal/connection/linker/call.go
+++ b/internal/connection/linker/call.go
@@ -15,6 +15,7 @@
 	"github.com/gullvale/gullvale/internal/connection/pooler"
 	"github.com/gullvale/gullvale/internal/request/exchanger"
 	"github.com/gullvale/gullvale/pkg/timekeeper"
+	"github.com/gullvale/gullvale/pkg/verifier"
 )
 
 // deadlineGrace is how long an entry waits for the owner beyond the deadline. The owner
@@ -154,6 +155,9 @@
 		Length:   m.Length,
 		Upstream: m.Upstream,
 	}
+	if verifier.CheckHead(r.Status, r.Header) != nil {
+		return exchanger.Lost(exchanger.ReasonUpstreamLost, r.Upstream), true
+	}
 	if r.Length >= 0 && r.Length <= framer.ChunkBytes {
 		o.buffered = &r
 		return exchanger.Result{}, false
--- a/internal/connection/pooler/owner.go
+++ b/internal/connection/pooler/owner.go
@@ -12,6 +12,7 @@
 	"github.com/gullvale/gullvale/internal/version/resolver"
 	"github.com/gullvale/gullvale/pkg/registrar"
 	"github.com/gullvale/gullvale/pkg/timekeeper"
+	"github.com/gullvale/gullvale/pkg/verifier"
 )
 
 // upkeepInterval is how often ramp-up, the end of back-offs and due probes are checked.
@@ -320,7 +321,7 @@
 		return
 	}
 	began := p.clock.Now()
-	r, err := u.probeTransport.RoundTrip(q)
+	r, err := verifier.RoundTrip(q, u.probeTransport.RoundTrip)
 	ok := err == nil && r.StatusCode < http.StatusInternalServerError
 	if err == nil {
 		p.recordResponse(u, began, r)
--- a/internal/connection/pooler/send.go
+++ b/internal/connection/pooler/send.go
@@ -17,6 +17,7 @@
 	"github.com/gullvale/gullvale/internal/connection/framer"
 	"github.com/gullvale/gullvale/internal/request/exchanger"
 	"github.com/gullvale/gullvale/pkg/timekeeper"
+	"github.com/gullvale/gullvale/pkg/verifier"
 )
 
 type (
@@ -97,7 +98,7 @@
 	if err != nil {
 		return exchanger.Refused(exchanger.ReasonBadRequest, 0)
 	}
-	p, err := a.pool.transportOf(a.dest).RoundTrip(q)
+	p, err := verifier.RoundTrip(q, a.pool.transportOf(a.dest).RoundTrip)
 	if err != nil {
 		return a.failureResult(ctx)
 	}
--- a/internal/connection/sender/send.go
+++ b/internal/connection/sender/send.go
@@ -14,6 +14,7 @@
 	"github.com/rotisserie/eris"
 
 	"github.com/gullvale/gullvale/pkg/timekeeper"
+	"github.com/gullvale/gullvale/pkg/verifier"
 )
 
 const (
@@ -274,6 +275,9 @@
 		if err != nil {
 			return nil, err
 		}
+		if err := verifier.CheckHead(p.StatusCode, p.Header); err != nil {
+			return nil, eris.Wrap(ErrMalformed, err.Error())
+		}
 		if p.StatusCode >= http.StatusOK {
 			return p, nil
 		}
--- a/internal/request/dispatcher/early_test.go
+++ b/internal/request/dispatcher/early_test.go
@@ -72,7 +72,7 @@
 			for _, chunked := range []bool{false, true} {
 				t.Run(fmt.Sprintf("%s, %s, chunked=%t", tt.name, path.name, chunked), func(t *testing.T) {
 					is := is.New(t)
-					s := path.make(t)
+					s := path.make(t, matcher.Once)
 					u := &responder.Responder{After: uploadRead, Response: func(*http.Request) string { return tt.response }, Bodies: make(chan responder.Body, 1)}
 					address := s.serveEntry(t, u.Start(t))
 					sent := uploader.Numbered(uploadBytes)
--- /dev/null
+++ b/internal/request/dispatcher/invalid_test.go
@@ -0,0 +1,81 @@
+package dispatcher_test
+
+import (
+	"fmt"
+	"io"
+	"net/http"
+	"strings"
+	"sync/atomic"
+	"testing"
+
+	"github.com/matryer/is"
+
+	"github.com/gullvale/gullvale/internal/standin/responder"
+	"github.com/gullvale/gullvale/internal/version/cataloger"
+	"github.com/gullvale/gullvale/internal/version/matcher"
+)
+
+// get sends a request to an entry, and returns the response and its body.
+func get(t *testing.T, address string) (*http.Response, string) {
+	t.Helper()
+	q, err := http.NewRequest(http.MethodPost, "http://"+address+"/x", strings.NewReader("body"))
+	if err != nil {
+		t.Fatal(err)
+	}
+	q.Host = "h.example"
+	q.Header.Set(fields.RequestID, "id")
+	p, err := http.DefaultClient.Do(q)
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer p.Body.Close()
+	b, err := io.ReadAll(p.Body)
+	if err != nil {
+		return p, "broken"
+	}
+	return p, string(b)
+}
+
+// testInvalid has an upstream send bytes that are no response to the first request. A caller gets
+// none of them: the request may have run, and is sent again if it may run twice.
+func testInvalid(t *testing.T, responses map[string]string) {
+	t.Helper()
+	good := responder.Respond("200 OK", fields.RequestID+": id\r\n"+fields.Proof+": p\r\n", "good")
+	for name, invalid := range responses {
+		for _, path := range upstreamPaths {
+			for kind, status := range map[matcher.Kind]int{matcher.Once: http.StatusBadGateway, matcher.Idempotent: http.StatusOK} {
+				t.Run(fmt.Sprintf("%s, %s, %s", name, path.name, kind), func(t *testing.T) {
+					is := is.New(t)
+					var requests atomic.Int64
+					u := &responder.Responder{Bodies: make(chan responder.Body, 10), Response: func(*http.Request) string {
+						if requests.Add(1) == 1 {
+							return invalid
+						}
+						return good
+					}}
+					s := path.make(t, kind)
+					s.catalog.Put(cataloger.Upstream{ID: "v", Service: "s", Address: u.Start(t), Site: "east/a", Slots: 4})
+					p, body := get(t, s.serveEntry(t, u.Start(t)))
+					is.Equal(p.StatusCode, status)
+					is.Equal(body, map[int]string{http.StatusOK: "good"}[status])
+					is.Equal(p.Header.Get("Bad"), "")
+					is.Equal(requests.Load(), map[int]int64{http.StatusBadGateway: 1, http.StatusOK: 2}[status])
+				})
+			}
+		}
+	}
+}
+
+// TestInvalidStatusIsNoResponse guards against a status that HTTP does not have and that is passed on,
+// or skipped as an interim one so that the bytes behind it are taken for the response.
+func TestInvalidStatusIsNoResponse(t *testing.T) {
+	head := fields.RequestID + ": id\r\n" + fields.Proof + ": p\r\n"
+	responses := map[string]string{}
+	for _, status := range []string{"000", "001", "099", "+20", "600", "999"} {
+		responses[status] = responder.Respond(status+" Trouble", head, "bad")
+		responses[status+" without a body"] = responder.Respond(status+" Trouble", head, "")
+		responses[status+" before another head"] = "HTTP/1.1 " + status + " Trouble\r\n\r\n" + responder.Respond("200 OK", head, "bad")
+		responses["100, then "+status] = "HTTP/1.1 100 Continue\r\n\r\n" + responder.Respond(status+" Trouble", head, "bad")
+	}
+	testInvalid(t, responses)
+}
--- a/internal/request/dispatcher/reset_test.go
+++ b/internal/request/dispatcher/reset_test.go
@@ -21,14 +21,13 @@
 // upstreamPaths are the ways of a request to its upstream.
 var upstreamPaths = []struct {
 	name string
-	make func(*testing.T) *harness
+	make func(*testing.T, matcher.Kind) *harness
 }{
-	{"straight", func(t *testing.T) *harness { return newHarness(t, matcher.Once) }},
-	{"over a helper", func(t *testing.T) *harness { return newRelayHarness(t, matcher.Once).harness }},
+	{"straight", newHarness},
+	{"over a helper", func(t *testing.T, k matcher.Kind) *harness { return newRelayHarness(t, k).harness }},
 }
 
-// serveEntry starts the server of an entry whose only upstream is at an address, and returns its
-// address.
+// serveEntry adds an upstream at an address, starts the server of the entry, and returns its address.
 func (s *harness) serveEntry(t *testing.T, upstream string) string {
 	t.Helper()
 	s.catalog.Put(cataloger.Upstream{ID: "u", Service: "s", Address: upstream, Site: "east/a", Slots: 4})
@@ -60,7 +59,7 @@
 					for _, after := range []int{0, 20_000, 60_000} {
 						for _, delay := range []time.Duration{0, 5 * time.Millisecond, 40 * time.Millisecond} {
 							u := &responder.Resetter{After: after, Response: head + part, Delay: delay}
-							p := sendUpload(t, path.make(t).serveEntry(t, u.Start(t)), &uploader.Upload{Body: body, Chunked: chunked, Piece: piece, Interval: time.Millisecond})
+							p := sendUpload(t, path.make(t, matcher.Once).serveEntry(t, u.Start(t)), &uploader.Upload{Body: body, Chunked: chunked, Piece: piece, Interval: time.Millisecond})
 							_, err := io.Copy(io.Discard, p.Body)
 							if err == nil && p.StatusCode == http.StatusOK {
 								whole++
@@ -88,7 +87,7 @@
 					body := strings.Repeat("b", length)
 					response := "HTTP/1.1 200 OK\r\n" + fields.RequestID + ": id\r\n" + fields.Proof + ": p\r\n\r\n" + body
 					u := &responder.Responder{After: uploadBytes, Response: func(*http.Request) string { return response }, Bodies: make(chan responder.Body, 1), Closes: true}
-					p := upload(t, path.make(t).serveEntry(t, u.Start(t)), uploader.Numbered(uploadBytes), chunked)
+					p := upload(t, path.make(t, matcher.Once).serveEntry(t, u.Start(t)), uploader.Numbered(uploadBytes), chunked)
 					is.Equal(p.StatusCode, http.StatusOK)
 					got, err := io.ReadAll(p.Body)
 					is.NoErr(err)
--- /dev/null
+++ b/internal/request/forwarder/invalid_test.go
@@ -0,0 +1,78 @@
+package forwarder_test
+
+import (
+	"fmt"
+	"io"
+	"net/http"
+	"strings"
+	"sync/atomic"
+	"testing"
+
+	"github.com/matryer/is"
+
+	"github.com/gullvale/gullvale/internal/request/forwarder"
+	"github.com/gullvale/gullvale/internal/standin/responder"
+)
+
+// testInvalid has an upstream send bytes that are no response, and then one. A caller gets neither: the
+// request may have run.
+func testInvalid(t *testing.T, responses map[string]string) {
+	t.Helper()
+	for name, invalid := range responses {
+		for _, linked := range []bool{false, true} {
+			t.Run(fmt.Sprintf("%s, linked=%t", name, linked), func(t *testing.T) {
+				is := is.New(t)
+				var requests atomic.Int64
+				u := &responder.Responder{Bodies: make(chan responder.Body, 10), Response: func(*http.Request) string {
+					if requests.Add(1) == 1 {
+						return invalid
+					}
+					return responder.Respond("200 OK", "", "good")
+				}}
+				address := serveEntry(t, u.Start(t), linked)
+				p, body := post(t, address)
+				is.Equal(p.StatusCode, http.StatusBadGateway)
+				is.True(strings.Contains(body, "Outcome")) // of the entry
+				is.Equal(p.Header.Get("Bad"), "")
+				is.Equal(requests.Load(), int64(1))
+				p, body = post(t, address)
+				is.Equal(p.StatusCode, http.StatusOK)
+				is.Equal(body, "good") // not over the same connection
+			})
+		}
+	}
+}
+
+// post sends a request to an entry, and returns the response and its body.
+func post(t *testing.T, address string) (*http.Response, string) {
+	t.Helper()
+	q, err := http.NewRequest(http.MethodPost, "http://"+address+"/x", strings.NewReader("body"))
+	if err != nil {
+		t.Fatal(err)
+	}
+	q.Header.Set(forwarder.HeaderService, string(service))
+	q.Header.Set(forwarder.HeaderDeadline, "2000")
+	p, err := http.DefaultClient.Do(q)
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer p.Body.Close()
+	b, err := io.ReadAll(p.Body)
+	if err != nil {
+		return p, "broken"
+	}
+	return p, string(b)
+}
+
+// TestInvalidStatusIsNoResponse guards against a status that HTTP does not have and that is passed on,
+// or replaced by 200.
+func TestInvalidStatusIsNoResponse(t *testing.T) {
+	responses := map[string]string{"101": responder.Respond("101 Switching Protocols", "", "bad")}
+	for _, status := range []string{"000", "001", "099", "+20", "600", "999"} {
+		responses[status] = responder.Respond(status+" Trouble", "", "bad")
+		responses[status+" without a body"] = responder.Respond(status+" Trouble", "", "")
+		responses[status+" before another head"] = "HTTP/1.1 " + status + " Trouble\r\n\r\n" + responder.Respond("200 OK", "", "bad")
+		responses["100, then "+status] = "HTTP/1.1 100 Continue\r\n\r\n" + responder.Respond(status+" Trouble", "", "bad")
+	}
+	testInvalid(t, responses)
+}
--- a/pkg/storer/client.go
+++ b/pkg/storer/client.go
@@ -17,6 +17,7 @@
 
 	"github.com/gullvale/gullvale/pkg/decoder"
 	"github.com/gullvale/gullvale/pkg/timekeeper"
+	"github.com/gullvale/gullvale/pkg/verifier"
 )
 
 const (
@@ -240,7 +241,7 @@
 	if do == nil {
 		do = httpc.DoRequest
 	}
-	p, err := do(q)
+	p, err := verifier.RoundTrip(q, do)
 	if err != nil && !wrote.Load() && isDialError(err) {
 		return nil, nil, eris.Wrapf(&DialError{Cause: err}, "%s %s", q.Method, q.URL.Path)
 	}
