verifier: a head or trailer with an invalid name is no response

Callers got a response of an upstream in trouble in whose head the name of a field held a blank: with that line (own interface), or with a body that was not the upstream's.

Cause: net/http refuses control bytes in a name and accepts a blank, also one before the colon. The field is then another one. "Content-Length : 2" and "Transfer-Encoding : chunked" are not seen, and the body is passed on until the close, with the framing of its chunks in it.

Evidence, the test on the code before, by what the caller got: a 200 for each kind of blank and after an interim head or the head of a response to another request with one; the 500 of such a failure; 504 after 2 s where the framing was lost; a second attempt after such a refusal, and such a 421, that was believed. Heads with a control byte, a tab, a byte above 0x7f, a parenthesis or an empty name gave 502 on that code already; their cases stay.

Fix: CheckHead checks names too, and CheckFields those of a trailer at the end of the body.

The entry refuses such names in requests already.

--- a/internal/connection/pooler/invalid_test.go
+++ b/internal/connection/pooler/invalid_test.go
@@ -13,7 +13,8 @@
 
 // invalidResponses are bytes that net/http takes for a success.
 var invalidResponses = map[string]string{
-	"status 000": responder.Respond("000 Trouble", "", "bad"),
+	"status 000":   responder.Respond("000 Trouble", "", "bad"),
+	"invalid name": responder.Respond("200 OK", "Bad : x\r\n", "bad"),
 }
 
 // TestInvalidResponseIsNoHealth guards against an upstream in trouble that a probe takes for a healthy
--- a/internal/connection/sender/send.go
+++ b/internal/connection/sender/send.go
@@ -103,7 +103,8 @@
 		conn *conn
 		// bytesBefore is the number of bytes on the connection before this exchange.
 		bytesBefore int64
-		body        io.ReadCloser
+		// received is the head and the body as net/http returned them.
+		received *http.Response
 		// closes reports whether the connection cannot be reused, and complete whether
 		// the body was read to its end.
 		closes   bool
@@ -288,18 +289,22 @@
 }
 
 func (r *Response) setHead(p *http.Response) {
-	r.Status, r.Header, r.Length, r.body = p.StatusCode, p.Header, p.ContentLength, p.Body
+	r.Status, r.Header, r.Length, r.received = p.StatusCode, p.Header, p.ContentLength, p
 	r.closes = p.Close || r.conn.refusesWrites()
 	r.conn.applyKeepAlive(p.Header)
 }
 
 // Read reads the body. Any error but io.EOF means that the body is incomplete.
 func (r *Response) Read(b []byte) (int, error) {
-	n, err := r.body.Read(b)
-	if err == io.EOF {
-		r.complete = true
+	n, err := r.received.Body.Read(b)
+	if err != io.EOF {
+		return n, err
 	}
-	return n, err
+	if err := verifier.CheckFields(r.received.Trailer); err != nil {
+		return n, eris.Wrap(ErrMalformed, err.Error())
+	}
+	r.complete = true
+	return n, io.EOF
 }
 
 // Complete reports whether the body was read to its end.
--- a/internal/request/dispatcher/invalid_test.go
+++ b/internal/request/dispatcher/invalid_test.go
@@ -79,3 +79,24 @@
 	}
 	testInvalid(t, responses)
 }
+
+// TestInvalidNameIsNoResponse guards against a response with a field whose name is invalid: what the
+// field says is lost, and with it the framing of the body.
+func TestInvalidNameIsNoResponse(t *testing.T) {
+	id, proof := fields.RequestID+": id\r\n", fields.Proof+": p\r\n"
+	head, chunked := id+proof, "Transfer-Encoding: chunked\r\n\r\n3\r\nbad\r\n0\r\n"
+	responses := map[string]string{
+		"Content-Length":    "HTTP/1.1 200 OK\r\n" + head + "Content-Length : 2\r\n\r\nbad",
+		"Transfer-Encoding": "HTTP/1.1 200 OK\r\n" + head + "Transfer-Encoding : chunked\r\n\r\n3\r\nbad\r\n0\r\n\r\n",
+		"failure":           responder.Respond("500 Internal Server Error", head+"Bad : x\r\n", "bad"),
+		"refusal":           responder.Respond("503 Service Unavailable", id+fields.NotRun+": 1\r\nBad : x\r\n", "bad"),
+		"other incarnation": responder.Respond("421 Misdirected Request", id+"Bad : x\r\n", "bad"),
+		"interim response":  "HTTP/1.1 100 Continue\r\nBad : x\r\n\r\n" + responder.Respond("200 OK", head, "bad"),
+		"trailer":           "HTTP/1.1 200 OK\r\n" + head + chunked + "Bad : x\r\n\r\n",
+		"another request's": responder.Respond("200 OK", fields.RequestID+": other\r\nBad : x\r\n", "bad") + responder.Respond("200 OK", head, "bad"),
+	}
+	for _, name := range responder.InvalidNames {
+		responses[fmt.Sprintf("%q", name)] = responder.Respond("200 OK", head+name+": x\r\n", "bad")
+	}
+	testInvalid(t, responses)
+}
--- a/internal/request/dispatcher/relayed.go
+++ b/internal/request/dispatcher/relayed.go
@@ -319,6 +319,8 @@
 		}
 		if err != nil {
 			x.record.Reason = "answer broke off"
+			// Without the head, the other member could not tell a lost helper from this.
+			_ = c.Flush()
 			panic(http.ErrAbortHandler)
 		}
 		if c.Flush() != nil {
--- a/internal/request/forwarder/invalid_test.go
+++ b/internal/request/forwarder/invalid_test.go
@@ -76,3 +76,33 @@
 	}
 	testInvalid(t, responses)
 }
+
+// TestInvalidNameIsNoResponse guards against a response with a field whose name is invalid, which is
+// passed on, or whose body has another framing than the caller is told.
+func TestInvalidNameIsNoResponse(t *testing.T) {
+	responses := map[string]string{
+		"Content-Length":    "HTTP/1.1 200 OK\r\nContent-Length : 2\r\n\r\nbad",
+		"Transfer-Encoding": "HTTP/1.1 200 OK\r\nTransfer-Encoding : chunked\r\n\r\n3\r\nbad\r\n0\r\n\r\n",
+		"failure":           responder.Respond("500 Internal Server Error", "Bad : x\r\n", "bad"),
+		"interim response":  "HTTP/1.1 100 Continue\r\nBad : x\r\n\r\n" + responder.Respond("200 OK", "", "bad"),
+	}
+	for _, name := range responder.InvalidNames {
+		responses[fmt.Sprintf("%q", name)] = responder.Respond("200 OK", name+": x\r\n", "bad")
+	}
+	testInvalid(t, responses)
+}
+
+// TestInvalidTrailerEndsNoResponse guards against a trailer with a field whose name is invalid and that
+// is passed on as the end of a whole response.
+func TestInvalidTrailerEndsNoResponse(t *testing.T) {
+	for _, linked := range []bool{false, true} {
+		t.Run(fmt.Sprintf("linked=%t", linked), func(t *testing.T) {
+			is := is.New(t)
+			u := &responder.Responder{Bodies: make(chan responder.Body, 10), Response: func(*http.Request) string {
+				return "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n3\r\nbad\r\n0\r\nBad : x\r\n\r\n"
+			}}
+			_, body := post(t, serveEntry(t, u.Start(t), linked))
+			is.Equal(body, "broken")
+		})
+	}
+}
--- a/pkg/storer/invalid_test.go
+++ b/pkg/storer/invalid_test.go
@@ -15,6 +15,9 @@
 var invalidResponses = map[string]string{
 	"status 000":        responder.Respond("000 Trouble", "", "{}"),
 	"status 000, empty": responder.Respond("000 Trouble", "", ""),
+	"invalid name":      responder.Respond("200 OK", "Bad : x\r\n", "{}"),
+	"invalid framing":   "HTTP/1.1 200 OK\r\nContent-Length : 2\r\nContent-Length: 0\r\n\r\n{}",
+	"invalid trailer":   "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n2\r\n{}\r\n0\r\nBad : x\r\n\r\n",
 }
 
 // TestInvalidResponseIsNoSuccess guards against a write that counts as done, or data that is taken for
--- a/pkg/verifier/head.go
+++ b/pkg/verifier/head.go
@@ -4,6 +4,7 @@
 	"net/http"
 
 	"github.com/rotisserie/eris"
+	"golang.org/x/net/http/httpguts"
 )
 
 // maxStatus is the highest status code of HTTP.
@@ -13,9 +14,20 @@
 var ErrInvalid = eris.New("invalid response")
 
 // CheckHead checks the head of a response, which may be an interim one. Its errors wrap ErrInvalid.
-func CheckHead(status int, _ http.Header) error {
+func CheckHead(status int, h http.Header) error {
 	if status < http.StatusContinue || status > maxStatus {
 		return eris.Wrapf(ErrInvalid, "status %03d is not between %d and %d", status, http.StatusContinue, maxStatus)
 	}
+	return CheckFields(h)
+}
+
+// CheckFields checks the names of the fields in a head or a trailer. net/http takes a name with a blank,
+// such as "Content-Length ", for that of another field.
+func CheckFields(h http.Header) error {
+	for name := range h {
+		if !httpguts.ValidHeaderFieldName(name) {
+			return eris.Wrapf(ErrInvalid, "name of field %q", name)
+		}
+	}
 	return nil
 }
--- a/pkg/verifier/roundtrip.go
+++ b/pkg/verifier/roundtrip.go
@@ -1,6 +1,7 @@
 package verifier
 
 import (
+	"io"
 	"net"
 	"net/http"
 	"net/http/httptrace"
@@ -19,14 +20,22 @@
 	fieldBytes      = 4
 )
 
-// interimChecker checks the interim responses to one request.
-type interimChecker struct {
-	bytes int
-}
+type (
+	// interimChecker checks the interim responses to one request.
+	interimChecker struct {
+		bytes int
+	}
+
+	// trailedBody is a body in chunks, which may have a trailer.
+	trailedBody struct {
+		io.ReadCloser
+		response *http.Response
+	}
+)
 
 // RoundTrip sends a request by a function that uses a transport of net/http, and checks the response
 // and the interim ones before it. If one is invalid, it returns an error that wraps ErrInvalid, and the
-// connection is not used again.
+// connection is not used again. An invalid trailer is an error of the last read of the body.
 func RoundTrip(q *http.Request, send func(*http.Request) (*http.Response, error)) (*http.Response, error) {
 	var used net.Conn
 	var interim interimChecker
@@ -46,9 +55,24 @@
 		}
 		return nil, err
 	}
+	if len(p.TransferEncoding) > 0 {
+		p.Body = &trailedBody{ReadCloser: p.Body, response: p}
+	}
 	return p, nil
 }
 
+// Read reads the body. It fails at the end if the trailer is invalid.
+func (b *trailedBody) Read(p []byte) (int, error) {
+	n, err := b.ReadCloser.Read(p)
+	if err != io.EOF {
+		return n, err
+	}
+	if invalid := CheckFields(b.response.Trailer); invalid != nil {
+		return n, invalid
+	}
+	return n, io.EOF
+}
+
 func (c *interimChecker) check(status int, h textproto.MIMEHeader) error {
 	c.bytes += statusLineBytes
 	for name, values := range h {
