decoder, platform: an entry that is nested too deep costs itself alone

Another writer left an entry among those of the servers that was nested 20,000 deep or more. A daemon that started afterwards never served; one that ran followed the list no more.

Cause: the decoder refuses a depth of more than 10,000 as an error of syntax, wherever it is. Fields of an unexpected type are forgiven entry by entry, an error of syntax is not, so a list, or a set of changes, was a malformed response as a whole, and was asked for again without end.

Evidence: with the stand-in's text the daemon of the test answers no request in 10 s, and its log has "malformed response to /objects/config: exceeded max depth", and the same of other kinds, 44 times in one run. decoder.Decode of a text with one such value fails at 10,001, and at 9,998 within two more levels, which is what a relay or a checkpoint adds.

It is done where all kinds of the store, relayed changes, checkpoints and members' state are decoded, and costs nothing for texts that decode. An unknown field that is too deep costs nothing, a known one its entry.

TestOddEntryCostsItself failed before (no response in 10 s) and so did 28 of 40 cases of TestDeepValueCostsItself. Numbers too large, ports out of range, half a surrogate, other bytes than UTF-8 and names given twice were handled already; their cases stay in the test.

--- a/pkg/decoder/decode.go
+++ b/pkg/decoder/decode.go
@@ -8,9 +8,19 @@
 	jsonv1 "github.com/go-json-experiment/json/v1"
 )
 
-// Decode decodes JSON into a value by the rules of encoding/json.
+// Decode decodes JSON into a value by the rules of encoding/json. It leaves out what is nested too deep
+// to be decoded.
 func Decode(b []byte, into any) error {
-	return jsonv1.Unmarshal(b, into)
+	err := jsonv1.Unmarshal(b, into)
+	var syntaxError *jsonv1.SyntaxError
+	if !errors.As(err, &syntaxError) {
+		return err
+	}
+	limited, changed := LimitDepth(b)
+	if !changed {
+		return err
+	}
+	return jsonv1.Unmarshal(limited, into)
 }
 
 // DecodeLenient decodes the next value of d by the rules of encoding/json. Fields of an unexpected type
