fronter, platform: a stop counts on the grace that the settings have now

In a planned stop of one VM, in calm, requests that came late in the grace were passed on to servers and cut at its end, among them some that may not be repeated.

Cause: the grace was copied from the settings when the daemon started. A shorter one in changed settings replaced the bounds, and the stop still counted on the copy, so that requests were taken that the SIGKILL cuts.

Evidence: TestLateRequestsOfGraceAreAnswered sends short requests, uploads in chunks and requests behind others of their connection until none is taken. With the grace as at the start all are answered in time, on the code before too. With 3 s in place of 5, read from changed settings, 8 requests were passed on from 284 ms before the end to 519 ms after it. Others ruled out: requests that can't end in time are refused (setTimeLimits), and a VM that leaves takes none that are handed over.

--- a/internal/process/follower/follow.go
+++ b/internal/process/follower/follow.go
@@ -103,7 +103,7 @@
 		Fields:      Fields,
 		ReadyPath:   readyPath,
 		MetricsPath: metricsPath,
-		StopTimeout: o.StopTimeout,
+		StopTimeout: func() timekeeper.Millis { return o.StopTimeout },
 		Self:        o.Name,
 		Members:     func() []heartbeater.Member { return self },
 		Homes:       &assigner.Assigner{Region: o.Site.Region(), Regions: t.Regions(), Without: o.Without},
--- a/internal/process/fronter/fronter.go
+++ b/internal/process/fronter/fronter.go
@@ -61,7 +61,7 @@
 	keepAliveInterval = time.Second
 	keepAliveCount    = 2
 
-	// stopReserve is the part of StopTimeout that is reserved for closing listeners
+	// stopReserve is the part of the stop timeout that is reserved for closing listeners
 	// and flushing logs.
 	stopReserve = 300 * timekeeper.Millis(1)
 
@@ -89,8 +89,8 @@
 		ReadyPath   string
 		MetricsPath string
 
-		// StopTimeout is the time the process has to exit once Leave is called.
-		StopTimeout timekeeper.Millis
+		// StopTimeout returns the time that the process has to exit once Leave is called.
+		StopTimeout func() timekeeper.Millis
 
 		// Self is the name of this member.
 		Self string
@@ -338,7 +338,7 @@
 // still use its address to use another entry.
 func (f *Fronter) Leave() {
 	began := f.clock.Now()
-	end := began + f.options.StopTimeout - stopReserve
+	end := began + f.options.StopTimeout() - stopReserve
 	f.stopsAt.Store(int64(end))
 	f.options.Log.WithFields(logrus.Fields{"active": f.dispatcher.Active(), "endsIn": end - began}).Info("leaving")
 }
