verifier, linker: an interim status ends no response over a link either

A head that another daemon passes on over a link is checked as a final one: a daemon of an older version may pass on 101, which the caller would get as a 200. TestInvalidHeadOfMemberIsNoResponse fails in 3 of 3 cases without the check of the link.

--- a/internal/connection/linker/call.go
+++ b/internal/connection/linker/call.go
@@ -155,7 +155,7 @@
 		Length:   m.Length,
 		Upstream: m.Upstream,
 	}
-	if verifier.CheckHead(r.Status, r.Header) != nil {
+	if verifier.CheckFinal(r.Status, r.Header) != nil {
 		return exchanger.Lost(exchanger.ReasonUpstreamLost, r.Upstream), true
 	}
 	if r.Length >= 0 && r.Length <= framer.ChunkBytes {
--- a/internal/request/forwarder/invalid_test.go
+++ b/internal/request/forwarder/invalid_test.go
@@ -1,6 +1,7 @@
 package forwarder_test
 
 import (
+	"context"
 	"fmt"
 	"io"
 	"net/http"
@@ -10,6 +11,7 @@
 
 	"github.com/matryer/is"
 
+	"github.com/gullvale/gullvale/internal/request/exchanger"
 	"github.com/gullvale/gullvale/internal/request/forwarder"
 	"github.com/gullvale/gullvale/internal/standin/responder"
 )
@@ -77,6 +79,27 @@
 	testInvalid(t, responses)
 }
 
+// TestInvalidHeadOfMemberIsNoResponse guards against a head that another daemon passes on over a link,
+// and that is none.
+func TestInvalidHeadOfMemberIsNoResponse(t *testing.T) {
+	for name, head := range map[string]exchanger.Response{
+		"status 0":     {Status: 0, Length: 3},
+		"status 101":   {Status: 101, Length: 3},
+		"invalid name": {Status: 200, Length: 3, Header: http.Header{"Bad ": {"x"}}},
+	} {
+		t.Run(name, func(t *testing.T) {
+			is := is.New(t)
+			f := newForwarder(t, nil)
+			useOwners(t, f, startServingPeer(t, "b", func(_ context.Context, c *exchanger.Call, _ bool) exchanger.Result {
+				_, _ = c.Start(head), c.Write([]byte("bad"))
+				return exchanger.Result{Outcome: exchanger.Answered, Whole: true}
+			}))
+			r := f.RunLinked(context.Background(), call(http.MethodPost), true)
+			is.Equal(r.Outcome, exchanger.Unknown)
+		})
+	}
+}
+
 // TestInvalidNameIsNoResponse guards against a response with a field whose name is invalid, which is
 // passed on, or whose body has another framing than the caller is told.
 func TestInvalidNameIsNoResponse(t *testing.T) {
--- a/pkg/verifier/head.go
+++ b/pkg/verifier/head.go
@@ -21,6 +21,14 @@
 	return CheckFields(h)
 }
 
+// CheckFinal checks the head of a final response.
+func CheckFinal(status int, h http.Header) error {
+	if status >= http.StatusContinue && status < http.StatusOK {
+		return eris.Wrapf(ErrInvalid, "interim status %d of a final response", status)
+	}
+	return CheckHead(status, h)
+}
+
 // CheckFields checks the names of the fields in a head or a trailer. net/http takes a name with a blank,
 // such as "Content-Length ", for that of another field.
 func CheckFields(h http.Header) error {
--- a/pkg/verifier/roundtrip.go
+++ b/pkg/verifier/roundtrip.go
@@ -47,7 +47,8 @@
 	if err != nil {
 		return nil, err
 	}
-	if err := checkFinal(p); err != nil {
+	// The transport takes 101 for a final response.
+	if err := CheckFinal(p.StatusCode, p.Header); err != nil {
 		_ = p.Body.Close()
 		// The transport keeps the connection if the response has no body.
 		if used != nil {
@@ -85,11 +86,3 @@
 	}
 	return CheckHead(status, http.Header(h))
 }
-
-// checkFinal checks the head of a response that the transport takes for a final one.
-func checkFinal(p *http.Response) error {
-	if p.StatusCode == http.StatusSwitchingProtocols {
-		return eris.Wrap(ErrInvalid, "unsolicited protocol switch")
-	}
-	return CheckHead(p.StatusCode, p.Header)
-}
