--- a/internal/request/dispatcher/invalid_test.go
+++ b/internal/request/dispatcher/invalid_test.go
@@ -100,3 +100,26 @@
 	}
 	testInvalid(t, responses)
 }
+
+// TestBrokenAnswerIsNotBlamedOnHelper guards against a helper that is taken for lost, and avoided, since
+// an answer broke off before the helper had sent its head: an idempotent request was not sent again.
+func TestBrokenAnswerIsNotBlamedOnHelper(t *testing.T) {
+	head := fields.RequestID + ": id\r\n" + fields.Proof + ": p\r\n"
+	for _, path := range upstreamPaths {
+		t.Run(path.name, func(t *testing.T) {
+			is := is.New(t)
+			var requests atomic.Int64
+			u := &responder.Responder{Bodies: make(chan responder.Body, 10), Closes: true, Response: func(*http.Request) string {
+				if requests.Add(1) == 1 {
+					return "HTTP/1.1 200 OK\r\n" + head + "Transfer-Encoding: chunked\r\n\r\n"
+				}
+				return responder.Respond("200 OK", head, "good")
+			}}
+			s := path.make(t, matcher.Idempotent)
+			s.catalog.Put(cataloger.Upstream{ID: "v", Service: "s", Address: u.Start(t), Site: "east/a", Slots: 4})
+			p, body := post(t, s.serveEntry(t, u.Start(t)))
+			is.Equal(p.StatusCode, http.StatusOK)
+			is.Equal(body, "good")
+		})
+	}
+}
--- a/pkg/decoder/depth.go
+++ b/pkg/decoder/depth.go
@@ -23,7 +23,7 @@
 		case '[', '{':
 			if depth++; depth == MaxDepth+1 {
 				limited = append(append(limited, b[copied:i]...), null...)
-				copied = len(b)
+				copied = len(b) // unless the value has an end
 			}
 		case ']', '}':
 			if depth == MaxDepth+1 {
--- a/pkg/verifier/head_test.go
+++ b/pkg/verifier/head_test.go
@@ -10,7 +10,9 @@
 	"github.com/gullvale/gullvale/pkg/verifier"
 )
 
-func TestHeads(t *testing.T) {
+// TestInvalidHeadIsAnError guards against a head that one reader refuses and another one takes, and a
+// valid head that is refused.
+func TestInvalidHeadIsAnError(t *testing.T) {
 	tests := []struct {
 		name            string
 		status          int
