finder: a head that is no response does not say that a request did not run

One with a status of 000 or 600, or a blank in the name of a field, and "not run" in it was believed: the caller was told that its request had not run, and the next try had a new idempotency key, so that the request could run twice.

--- a/pkg/finder/finder.go
+++ b/pkg/finder/finder.go
@@ -13,6 +13,7 @@
 	"github.com/rotisserie/eris"
 
 	"github.com/gullvale/gullvale/pkg/timekeeper"
+	"github.com/gullvale/gullvale/pkg/verifier"
 )
 
 // Headers exchanged between callers and entries.
@@ -204,7 +205,7 @@
 	if err != nil {
 		return Lookup{}, err
 	}
-	p, err := f.client().Do(q)
+	p, err := verifier.RoundTrip(q, f.client().Do)
 	f.dialFailures.record(address, err, f.Clock.Now())
 	if err != nil {
 		return Lookup{}, err
--- a/pkg/finder/timeout.go
+++ b/pkg/finder/timeout.go
@@ -9,6 +9,7 @@
 	"github.com/rotisserie/eris"
 
 	"github.com/gullvale/gullvale/pkg/timekeeper"
+	"github.com/gullvale/gullvale/pkg/verifier"
 )
 
 // responseGrace is how long to wait for the response of an entry after the deadline. The
@@ -42,11 +43,11 @@
 // limit. The timeout does not apply to the response body.
 func doWithTimeout(client *http.Client, q *http.Request, timeout time.Duration) (*http.Response, error) {
 	if timeout == 0 {
-		return client.Do(q)
+		return verifier.RoundTrip(q, client.Do)
 	}
 	ctx, cancel := context.WithCancel(q.Context())
 	timer := time.AfterFunc(timeout, cancel)
-	p, err := client.Do(q.WithContext(ctx))
+	p, err := verifier.RoundTrip(q.WithContext(ctx), client.Do)
 	if !timer.Stop() {
 		err = errNoResponse
 	}
